Let no time-out that the caller's time or P50 set open a breaker

Cause: an attempt's time-out counted as the server's when its limit lay before the caller's deadline. The limit is cut to leave room for a retry, so it always lay there, also where no P99 was known and the caller's time alone had set it; and a retry's limit is P50, which half of all attempts overrun. Two of four servers were ejected for 9 s.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -614,10 +614,10 @@
 
     fn send(&mut self, now: Micros, id: RequestId, at: usize, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
-        let (limit, class) = (self.limit(now, request), request.class);
+        let ((limit, learned), class) = (self.limit(now, request), request.class);
         // Prevents silent servers from hiding behind attempts bound by time left alone.
-        let patience =
-            self.percentiles(class).map_or(limit, |p| (p.p50 * request.scale * PATIENCE) as Micros);
+        let patience = self.percentiles(class).map_or(f64::INFINITY, |p| p.p50 * request.scale * PATIENCE);
+        let own_limit = learned || limit as f64 > patience;
         let server = &mut self.servers[at];
         let share = server.share(now, &self.settings.rules);
         let pool = self.pools.entry(server.entry.zone).or_default();
@@ -649,26 +649,28 @@
         }
         request.sent += 1;
         request.last = Some(server);
-        let own_limit = now + limit.min(patience) < request.deadline;
         request.out = Some(Attempt { at: now, zone, cell, own_limit, idle });
         actions.push(Action::Send { request: id, server, limit });
     }
 
-    /// P99 for a first attempt, with room for a retry where one may follow; P50 for the retry.
-    fn limit(&self, now: Micros, request: &Request) -> Micros {
+    /// P99 for a first attempt, with room for a retry where one may follow; P50 for the retry. Tells if
+    /// running out of it tells against the server: not where the caller's time set it, less that room or not,
+    /// nor at P50, which half of all attempts overrun. Prevents the callers' haste from opening breakers.
+    fn limit(&self, now: Micros, request: &Request) -> (Micros, bool) {
         let left = (request.useful - now) as f64;
-        let Some(p) = self.percentiles(request.class) else { return left as Micros };
-        let limit = if request.retried {
-            p.p50 * request.scale
+        let Some(p) = self.percentiles(request.class) else { return (left as Micros, false) };
+        let tail = p.p99 * request.scale;
+        let (limit, learned) = if request.retried {
+            (p.p50 * request.scale, false)
         } else if self.settings.classes[request.class].effect == Effect::Unsafe {
-            p.p99 * request.scale * UNREPEATED
+            (tail * UNREPEATED, tail * UNREPEATED < left)
         } else {
             let reserve = p.p50 * request.scale * (1.0 + BACKOFF);
             let room =
                 if left - reserve > p.p50 * request.scale * RETRY_ROOM { left - reserve } else { left };
-            (p.p99 * request.scale).min(room)
+            (tail.min(room), tail < room)
         };
-        limit.min(left).max(1.0) as Micros
+        (limit.min(left).max(1.0) as Micros, learned)
     }
 
     // Outcome.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -241,6 +241,26 @@
     assert!(world.sends[&1] > before + 10, "{:?}", world.sends);
 }
 
+#[test]
+fn neither_the_callers_expiry_less_room_for_a_retry_nor_a_retrys_p50_opens_a_breaker() {
+    let mut world = world(&[Effect::Safe], 2);
+    warm_up(&mut world, 0, 20, 10 * MS);
+    // Far under the patience with silent servers, and P99 is not learned: each limit is the caller's.
+    for _ in 0..6 {
+        world.request_with(0, 90 * MS);
+        assert!(last_out(&world).limit < 90 * MS, "room for a retry is kept");
+        let until = world.now + 120 * MS;
+        world.run(until, |o| (o.server != 1).then_some((10 * MS, Outcome::Ok)));
+    }
+    let before = world.sends[&1];
+    for _ in 0..20 {
+        world.request(0);
+        let until = world.now + 40 * MS;
+        world.run(until, |_| Some((10 * MS, Outcome::Ok)));
+    }
+    assert!(world.sends[&1] > before + 4, "{before}, then {:?}", world.sends);
+}
+
 #[test]
 fn when_all_servers_fail_most_stay_in_use() {
     let mut world = world(&[Effect::Safe], 9);
