Watch discovery from the start where news of the list comes unasked

Cause: the settings say `automatic`, so the module never orders a watch, and the network code watched on its order alone. Real discovery tells nothing unasked: the list stayed that of the start. A watch that fails is now begun anew by the network code, within 100 to 800 ms. Without a known list the whole list is asked for first, not what is newer than version 0.

--- a/sloeline/src/discovery.rs
+++ b/sloeline/src/discovery.rs
@@ -27,6 +27,8 @@
 const WATCH_PATIENCE: Duration = Duration::from_secs(2);
 /// Pause before the first call at a new address is made again; it doubles each time.
 const AGAIN: Duration = Duration::from_millis(100);
+/// Longest pause before a watch that goes on by itself is begun anew.
+const MOST_PAUSE: Duration = Duration::from_millis(800);
 /// How often the first call at a new address is made again before the module is told.
 const TIMES_AGAIN: u32 = 4;
 /// Most of a list's text.
@@ -117,14 +119,17 @@
     moves: Cell<u64>,
     /// The version of the list held; none where the whole list is to be asked for first.
     generation: Cell<Option<u64>>,
+    /// Changes are to arrive unasked: a watch that failed is begun anew here and not left to the module.
+    unasked: bool,
     watch: RefCell<Option<AbortHandle>>,
 }
 
 impl Discovery {
-    /// Nothing asked yet; `generation` is that of the known list.
-    pub fn new(address: SocketAddr, generation: u64) -> Rc<Discovery> {
-        let (address, generation) = (Cell::new(address), Cell::new(Some(generation)));
-        Rc::new(Discovery { address, moves: Cell::new(0), generation, watch: RefCell::default() })
+    /// Nothing asked yet; `generation` is that of the known list. `unasked` where the module counts on news
+    /// without asking for it.
+    pub fn new(address: SocketAddr, generation: Option<u64>, unasked: bool) -> Rc<Discovery> {
+        let (address, generation) = (Cell::new(address), Cell::new(generation));
+        Rc::new(Discovery { address, moves: Cell::new(0), generation, unasked, watch: RefCell::default() })
     }
 
     /// Leaves the present address, its watch and its line: the new one is asked for the whole list at once and
@@ -138,7 +143,8 @@
         self.start(TIMES_AGAIN, tell);
     }
 
-    /// Watches from now on and tells each list; a failure is told and ends the watch. A watch under way ends.
+    /// Watches from now on and tells each list. A failure is told and ends the watch, unless news is to come
+    /// unasked. A watch under way ends.
     pub fn watch(self: &Rc<Self>, tell: impl Fn(ListKind, Vec<Listed>) + 'static) {
         self.start(0, tell);
     }
@@ -160,14 +166,14 @@
                     Ok(list) => {
                         let whole = list.reset || this.generation.get().is_none();
                         this.generation.set(Some(list.generation));
-                        again = 0;
+                        (again, pause) = (0, AGAIN);
                         tell(if whole { ListKind::Complete } else { ListKind::Changes }, list.entries());
                     }
-                    Err(why) if again > 0 => {
-                        eprintln!("discovery: {} does not answer yet: {why}", this.address.get());
-                        again -= 1;
+                    Err(why) if again > 0 || this.unasked => {
+                        eprintln!("discovery: {} does not answer: {why}", this.address.get());
+                        again = again.saturating_sub(1);
                         sleep(pause).await;
-                        pause *= 2;
+                        pause = (2 * pause).min(MOST_PAUSE);
                     }
                     Err(why) => {
                         eprintln!("discovery: the watch ended: {why}");
--- a/sloeline/src/main.rs
+++ b/sloeline/src/main.rs
@@ -14,6 +14,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
+use finchshift as fs;
 use finchshift::{ListKind, Micros, ServerId};
 use finchshift_wirehost::setup::{Names, settings};
 use tokio::net::TcpSocket;
@@ -124,8 +125,9 @@
     let callers = ((free as f64 * CALLERS) as usize).max(1);
     let upstreams = Upstreams::new(&settings.limits, free - callers);
     spawn_local(upstreams.tend());
-    let generation = config.known.as_ref().map_or(0, |known| known.generation);
-    let discovery = Discovery::new(config.discovery, generation);
+    let generation = config.known.as_ref().map(|known| known.generation);
+    let unasked = settings.discovery == fs::Discovery::Push;
+    let discovery = Discovery::new(config.discovery, generation, unasked);
     let classes: Vec<_> = config
         .setup
         .categories
@@ -139,6 +141,11 @@
         Some(known) => engine.list(ListKind::Stale, known.entries()),
         None => engine.begin(),
     }
+    // Real discovery pushes nothing: what the module is to hear unasked is asked for here.
+    if unasked {
+        let engine = engine.clone();
+        discovery.watch(move |kind, entries| engine.list(kind, entries));
+    }
     spawn_local(engine.clone().run());
     spawn_local({
         let engine = engine.clone();
--- a/sloeline/tests/common/mod.rs
+++ b/sloeline/tests/common/mod.rs
@@ -159,6 +159,8 @@
 pub struct Setup {
     pub known: Vec<String>,
     pub discovery: Option<SocketAddr>,
+    /// News of the list is to come unasked, as far as the module is concerned.
+    pub unasked: bool,
     pub limits: &'static str,
     /// The names of the tiers; the balancer sends to the first.
     pub tiers: &'static str,
@@ -171,12 +173,13 @@
 }
 
 impl Setup {
-    /// A balancer that knows upstreams at these addresses and asks nobody.
+    /// A balancer that knows upstreams at these addresses and finds no discovery.
     pub fn knowing(upstreams: &[SocketAddr]) -> Setup {
         let entries = upstreams.iter().enumerate().map(|(i, a)| entry(&format!("s-{i}"), *a, "SERVING"));
         Setup {
             known: entries.collect(),
             discovery: None,
+            unasked: false,
             limits: "",
             tiers: r#""t""#,
             balancers: (1, r#""a""#),
@@ -193,6 +196,7 @@
             entries => format!(r#""known":{},"#, list(41, true, entries)),
         };
         let (mode, discovery) = match self.discovery {
+            Some(address) if self.unasked => ("automatic", address),
             Some(address) => ("subscribe", address),
             None => ("automatic", nowhere()),
         };
--- a/sloeline/tests/discovery.rs
+++ b/sloeline/tests/discovery.rs
@@ -46,6 +46,39 @@
     assert_eq!(balancer.ask(READY).status(), 200);
 }
 
+#[test]
+fn news_that_is_to_come_unasked_is_watched_for_from_the_start_and_whatever_fails() {
+    let (discovery, upstream) = (Peer::new(), Peer::new());
+    let setup = Setup::knowing(&[nowhere()]);
+    let balancer = Setup { discovery: Some(discovery.address), unasked: true, ..setup }.start();
+    for failure in ["HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "", "what?\r\n\r\n"] {
+        let mut line = discovery.accept();
+        let call = read(&mut line).expect("a call");
+        assert!(call.first_line().contains("index=41&"), "{}", call.first_line());
+        let _ = line.write_all(failure.as_bytes());
+    }
+    let mut line = discovery.accept();
+    read(&mut line).expect("a call");
+    let moved = [entry("s-0", upstream.address, "SERVING")];
+    answer(&mut line, "200 OK", "", list(42, false, &moved).as_bytes());
+    read(&mut line).expect("the next call: the list was taken");
+    let _requests = upstream.serve(|_, stream| ok(stream));
+    assert_eq!(balancer.ask(&request("pay", "r-1", "")).status(), 200);
+}
+
+#[test]
+fn without_a_known_list_the_whole_list_is_asked_for_first() {
+    let discovery = Peer::new();
+    let setup = Setup { discovery: Some(discovery.address), unasked: true, ..Setup::knowing(&[]) };
+    let balancer = setup.start();
+    assert_eq!(balancer.ask(READY).status(), 503);
+    let mut line = discovery.accept();
+    assert_eq!(read(&mut line).expect("a call").first_line(), "GET /registry/instances HTTP/1.1");
+    answer(&mut line, "200 OK", "", list(0, true, &[]).as_bytes());
+    read(&mut line).expect("the next call: the list was taken");
+    assert_eq!(balancer.ask(READY).status(), 200);
+}
+
 #[test]
 fn what_drains_or_is_gone_gets_nothing_new_and_what_moved_is_found() {
     let (discovery, old, new) = (Peer::new(), Peer::new(), Peer::new());
