Give an inner tier its part of a deadline that callers do not pass on

Cause: DESIGN splits the class deadline by tier depth where the time left is not carried. `take` applied the split to the aim alone, and the aim bounds only classes without worth for late answers.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -403,11 +403,12 @@
             return;
         };
         let stretch = (c.aim_stretch * work.unwrap_or(0) as f64) as Micros;
-        let mut aim = (c.aim + stretch).min(c.deadline);
-        if !self.settings.passes_deadline {
-            aim = aim.min(self.split(c.deadline));
-        }
-        let useful = if c.late_worth > 0.0 { left } else { left.min(aim.saturating_sub(self.settings.tick)) };
+        // Prevents work for callers that have left: one that does not pass on its time hands down the whole
+        // deadline, of which it and the tiers above have used their part.
+        let part = if self.settings.passes_deadline { c.deadline } else { self.split(c.deadline) };
+        let aim = (c.aim + stretch).min(part);
+        let useful = if c.late_worth > 0.0 { part } else { aim.saturating_sub(self.settings.tick) };
+        let useful = left.min(useful);
         let state = &mut self.classes[class];
         state.offered += 1.0;
         state.held.push_back(id);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -33,6 +33,18 @@
     assert_eq!(last_out(&world).limit, 300 * MS);
 }
 
+#[test]
+fn where_callers_pass_no_time_a_tier_takes_its_part_of_the_deadline() {
+    for (passes, limit) in [(true, 2 * SECOND), (false, SECOND)] {
+        let mut settings = settings(&[Effect::Safe]);
+        (settings.tier, settings.tiers, settings.passes_deadline) = (1, 2, passes);
+        settings.classes[0].late_worth = 0.3;
+        let mut world = World::new(settings, vec![ServerEntry::new(0)], 7);
+        world.request(0);
+        assert_eq!(last_out(&world).limit, limit, "passed on: {passes}");
+    }
+}
+
 #[test]
 fn a_handful_of_answers_is_no_p99() {
     // The first answers are the fastest ones: taken for P99 they cut off all the rest.
