End a cold server's pause when it is warm

Symptom: a balancer that starts in the middle of a release leaves freshly started servers out for minutes.

Cause: the pause before a cold server's next call is the usual time between two calls, taken from the calls sent of late, over its share. No pause outlasts that now.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -193,6 +193,11 @@
         (rules.cold_from + (1.0 - rules.cold_from) * age).min(1.0)
     }
 
+    /// Prevents a pause from outlasting the cold: a balancer with few calls would leave it out long after.
+    fn hold_while_cold(&mut self, until: Micros, rules: &Rules) {
+        self.not_before = until.min(self.entry.started.unwrap_or(0) + rules.warm_after);
+    }
+
     /// Whether the breakers let a call of the class through, and if it is a trial.
     fn passes(&self, class: ClassId, now: Micros) -> Option<bool> {
         let pass = |b: &Breaker| match b.state {
@@ -631,7 +636,8 @@
         }
         if share < 1.0 {
             let interval = self.half_life * std::f64::consts::LOG2_E * pool.servers as f64 / pool.sent;
-            server.not_before = now + (interval / share * (0.5 + self.rng.f64())) as Micros;
+            let wait = interval / share * (0.5 + self.rng.f64());
+            server.hold_while_cold(now + wait as Micros, &self.settings.rules);
         }
         let gap = server.idle.pop().map_or(0, |since| now - since) / FLOOR as Micros;
         let mut idle = gap.checked_ilog2().unwrap_or(0) as usize;
@@ -868,7 +874,7 @@
                 let mut server = Server { entry, in_flight, breakers, ..Server::default() };
                 if server.share(now, &self.settings.rules) < 1.0 {
                     let wait = interval / self.settings.rules.cold_from * self.rng.f64();
-                    server.not_before = now + wait as Micros;
+                    server.hold_while_cold(now + wait as Micros, &self.settings.rules);
                 }
                 self.servers.push(server);
             }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -320,6 +320,24 @@
     assert!((f64::from(cold)) < 0.6 * warm && cold > 0, "{cold} beside {warm}");
 }
 
+#[test]
+fn a_cold_server_is_in_use_once_it_is_warm_however_few_calls_told_of_the_rate() {
+    // As after a start in the middle of a release: nothing was sent that would tell how often calls come.
+    let now = 1_000 * SECOND;
+    let cold = ServerEntry { started: Some(now - SECOND), ..ServerEntry::new(1) };
+    for seed in 0..8 {
+        let mut world = World::new(settings(&[Effect::Safe]), vec![ServerEntry::new(0), cold.clone()], seed);
+        assert_eq!(world.now, now);
+        let warm_after = world.settings.rules.warm_after;
+        for _ in 0..warm_after / (100 * MS) + 20 {
+            world.request(0);
+            let until = world.now + 100 * MS;
+            world.run(until, |_| Some((50 * MS, Outcome::Ok)));
+        }
+        assert!(world.sends.contains_key(&1), "seed {seed}: left out long after it is warm");
+    }
+}
+
 #[test]
 fn a_burst_does_not_fall_on_a_cold_server() {
     // With nothing in flight it looks best of all, to every balancer at once.
