Bound a connection's first request to 2.8 s from the connection on

Cause: silence (2 s), head (1.5 s) and body (2.5 s) each had a time of their own, from the first byte on. A peer that is silent for 1.9 s and then sends half a head got its 408 after 3.4 s, with half a body after 4.4 s. What comes before a connection's first whole request now shares one time. Later requests on it are timed as before.

Evidence: the new test on a paused clock, which fails without the bound.

--- a/sloeline/src/gate.rs
+++ b/sloeline/src/gate.rs
@@ -25,6 +25,8 @@
 const HEAD_TIME: Duration = Duration::from_millis(1500);
 /// A request may take this long from its first byte to its last.
 const BODY_TIME: Duration = Duration::from_millis(2500);
+/// A connection's first request may take this long from the connection on, with the silence before it.
+const FIRST_TIME: Duration = Duration::from_millis(2800);
 /// Most of a head.
 const MOST_HEAD: usize = 16 * 1024;
 /// Read at once.
@@ -81,6 +83,8 @@
     stage: Cell<Stage>,
     since: Cell<Instant>,
     first_byte: Cell<Instant>,
+    /// Until when its first request must have come whole; nothing once one has.
+    first_until: Cell<Option<Instant>>,
     place: Cell<Option<u64>>,
     fault: Cell<Option<Fault>>,
     chunked: Cell<bool>,
@@ -98,6 +102,7 @@
             stage: Cell::new(Stage::Open),
             since: Cell::new(now),
             first_byte: Cell::new(now),
+            first_until: Cell::new(Some(now + FIRST_TIME)),
             place: Cell::default(),
             fault: Cell::default(),
             chunked: Cell::default(),
@@ -142,11 +147,13 @@
     /// The request has come whole.
     pub fn taken(&self) {
         self.unread.set(false);
+        self.first_until.set(None);
         self.enter(Stage::Open);
     }
 
     /// It has its answer: the next one may pass.
     pub fn answered(&self) {
+        self.first_until.set(None);
         self.enter(Stage::Idle);
     }
 
@@ -155,14 +162,16 @@
         self.chunked.get()
     }
 
-    /// When it has been at this for too long; a request that is open has a clock of its own.
+    /// When it has been at this for too long; a request that is open has a clock of its own. Guards against a
+    /// peer that is silent first and slow then, each for less than it may: it is owed an end within 3 s in all.
     pub fn due(&self) -> Option<Instant> {
-        match self.stage.get() {
-            Stage::Idle => Some(self.since.get() + IDLE_TIME),
-            Stage::Head => Some(self.first_byte.get() + HEAD_TIME),
-            Stage::Body => Some(self.first_byte.get() + BODY_TIME),
-            Stage::Open => None,
-        }
+        let due = match self.stage.get() {
+            Stage::Idle => self.since.get() + IDLE_TIME,
+            Stage::Head => self.first_byte.get() + HEAD_TIME,
+            Stage::Body => self.first_byte.get() + BODY_TIME,
+            Stage::Open => return None,
+        };
+        Some(self.first_until.get().map_or(due, |until| due.min(until)))
     }
 
     /// What was not let through.
@@ -347,3 +356,33 @@
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::future::pending;
+    use tokio::task::{LocalSet, spawn_local};
+    use tokio::time::advance;
+
+    #[test]
+    fn silence_and_slowness_before_the_first_request_end_within_3_s_together() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+        LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+            let progress = Progress::new(Rc::default());
+            progress.of(spawn_local(pending::<()>()).abort_handle());
+            let start = Instant::now();
+            let silence = IDLE_TIME - Duration::from_millis(100);
+            advance(silence).await;
+            for stage in [Stage::Head, Stage::Body] {
+                progress.enter(stage);
+                assert!(progress.due().expect("an end") < start + Duration::from_secs(3), "{stage:?}");
+            }
+            // Once a request has come, the next ones have their own time.
+            progress.taken();
+            progress.answered();
+            advance(silence).await;
+            progress.enter(Stage::Head);
+            assert_eq!(progress.due(), Some(Instant::now() + HEAD_TIME));
+        });
+    }
+}
