Bound attempts of a class not yet learned by time left alone

Cause: with under six answers of a class, `limit` took the percentiles of all classes together. They are those of the frequent, short classes. DESIGN: until P50 and P99 are learned, time left bounds attempts.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -665,7 +665,11 @@
     /// nor at P50, which half of all attempts overrun. Prevents the callers' haste from opening breakers.
     fn limit(&self, now: Micros, request: &Request) -> (Micros, bool) {
         let left = (request.useful - now) as f64;
-        let Some(p) = self.percentiles(request.class) else { return (left as Micros, false) };
+        // Prevents long classes from being cut by what short ones took, while they are rare themselves.
+        let p = &self.classes[request.class].latency;
+        if p.total < MIN_SAMPLES {
+            return (left as Micros, false);
+        }
         let tail = p.p99 * request.scale;
         let (limit, learned) = if request.retried {
             (p.p50 * request.scale, false)
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -54,6 +54,18 @@
     assert_eq!(last_out(&world).limit, 499 * MS);
 }
 
+#[test]
+fn a_rare_classs_retry_is_not_cut_to_what_frequent_ones_take() {
+    let mut world = world(&[Effect::Safe, Effect::Safe], 3);
+    warm_up(&mut world, 0, 40, 10 * MS);
+    world.request_with(1, 400 * MS);
+    let first = last_out(&world);
+    world.end(&first, Outcome::Error);
+    let until = world.now + 50 * MS;
+    world.run(until, |_| Some((200 * MS, Outcome::Ok)));
+    assert!(last_out(&world).limit > 300 * MS, "nothing is known of it: {}", last_out(&world).limit);
+}
+
 #[test]
 fn p99_bounds_the_first_attempt_once_learned() {
     let mut world = world(&[Effect::Safe], 3);
