Tell refused clients when to come back

Symptom: a refusal never carried a `Retry-After`, though the settings allow one; refused clients came back within their own short backoff, into the same queue.

Cause: the module's refusals named no wait. They now name the time in which the servers work off what is held, at the rate of late, as long as an answer after it is still of use. The refusal itself is sent at once, as before.

Kept for what users expect, not for a gain.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -452,14 +452,23 @@
         let class = &self.settings.classes[request.class];
         let repeatable = matches!(class.effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
         let may_refuse = request.ran.is_none() || repeatable;
-        let gains = now as f64 + self.classes[request.class].latency.p50 < request.useful as f64;
-        actions.push(if may_refuse && gains {
-            Action::Refuse { request: id, retry_after: 0 }
+        // What is left for the wait: an answer after it is still to be of use.
+        let spare = request.useful as f64 - now as f64 - self.classes[request.class].latency.p50;
+        actions.push(if may_refuse && spare > 0.0 {
+            Action::Refuse { request: id, retry_after: self.worked_off().min(spare) as Micros }
         } else {
             Action::Fail { request: id }
         });
     }
 
+    /// How long the servers need for what is held, at the rate of late: who comes back sooner only waits too.
+    fn worked_off(&self) -> f64 {
+        let held = self.classes.iter().map(|c| c.held.len()).sum::<usize>() as f64;
+        let sent: f64 = self.pools.values().map(|p| p.sent).sum();
+        let wait = held * self.half_life * std::f64::consts::LOG2_E / sent.max(1.0);
+        wait.min(self.settings.limits.max_retry_after as f64)
+    }
+
     /// What the class's learned percentiles are, or the pooled ones, or nothing.
     fn percentiles(&self, class: ClassId) -> Option<&Percentiles> {
         [&self.classes[class].latency, &self.all].into_iter().find(|p| p.total >= MIN_SAMPLES)
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -221,6 +221,26 @@
     assert!(!world.refused.is_empty(), "more than the balancer holds");
 }
 
+#[test]
+fn a_refusal_tells_when_to_come_back_while_an_answer_is_still_of_use() {
+    let mut settings = settings(&[Effect::Safe]);
+    (settings.limits.retry_after, settings.limits.max_retry_after) = (true, 3 * SECOND);
+    let mut world = World::new(settings, Vec::new(), 7);
+    for _ in 0..30 {
+        world.request(0);
+    }
+    let aim = world.settings.classes[0].aim;
+    let waits: Vec<_> = world
+        .trace
+        .iter()
+        .filter_map(|(_, action)| match action {
+            Action::Refuse { retry_after, .. } => Some(*retry_after),
+            _ => None,
+        })
+        .collect();
+    assert!(!waits.is_empty() && waits.iter().all(|w| (MS..aim).contains(w)), "{waits:?}");
+}
+
 #[test]
 fn the_pick_takes_fewest_own_calls_in_flight() {
     let mut world = world(&[Effect::Safe], 4);
