Begin a watch that fell silent anew after 1.5 s, not 22 s

Until then it sent to servers that drained (241 attempts turned away in 5 s), then to gone ones, never to new ones.

At fault: the fixed wait of 20 s in sloeline/src/discovery.rs. A watch now waits a part of the span within which the settings want drains heeded, and its patience after that is a part of the wait.

--- a/sloeline/src/discovery.rs
+++ b/sloeline/src/discovery.rs
@@ -19,12 +19,19 @@
 
 use crate::wire::Listed;
 
-/// How long a watch may wait for news.
-const WAIT: Duration = Duration::from_secs(20);
+/// How long a watch may wait for news at the most ...
+const LONGEST_WAIT: Duration = Duration::from_secs(20);
+/// ... and at the least: each round costs a call.
+const SHORTEST_WAIT: Duration = Duration::from_millis(200);
+/// What a watch may wait of the span within which the news of a drain must be heeded: one that has fallen
+/// silent looks like one without news until its wait is over.
+const WAIT: f64 = 0.4;
 /// A call without a wait that takes longer counts as failed.
 const PATIENCE: Duration = Duration::from_secs(6);
-/// The same for a watch, after its wait: what discovery had to tell counts as told from then on.
+/// The same for a watch, after its wait: what discovery had to tell counts as told from then on at the latest.
 const WATCH_PATIENCE: Duration = Duration::from_secs(2);
+/// No longer than this part of the wait: an agent on the same machine has answered by then.
+const WATCH_PATIENCE_PART: f64 = 0.5;
 /// Pause before the first call at a new address is made again; it doubles each time.
 const AGAIN: Duration = Duration::from_millis(100);
 /// Longest pause before a watch that goes on by itself is begun anew.
@@ -121,15 +128,24 @@
     generation: Cell<Option<u64>>,
     /// Changes are to arrive unasked: a watch that failed is begun anew here and not left to the module.
     unasked: bool,
+    /// How long a watch waits for news.
+    wait: Duration,
     watch: RefCell<Option<AbortHandle>>,
 }
 
 impl Discovery {
     /// Nothing asked yet; `generation` is that of the known list. `unasked` where the module counts on news
-    /// without asking for it.
-    pub fn new(address: SocketAddr, generation: Option<u64>, unasked: bool) -> Rc<Discovery> {
+    /// without asking for it. Drains must be heeded within `drain_grace` of their news.
+    pub fn new(
+        address: SocketAddr,
+        generation: Option<u64>,
+        unasked: bool,
+        drain_grace: Duration,
+    ) -> Rc<Discovery> {
         let (address, generation) = (Cell::new(address), Cell::new(generation));
-        Rc::new(Discovery { address, moves: Cell::new(0), generation, unasked, watch: RefCell::default() })
+        let wait = drain_grace.mul_f64(WAIT).clamp(SHORTEST_WAIT, LONGEST_WAIT);
+        let (moves, watch) = (Cell::new(0), RefCell::default());
+        Rc::new(Discovery { address, moves, generation, unasked, wait, watch })
     }
 
     /// Leaves the present address, its watch and its line: the new one is asked for the whole list at once and
@@ -158,8 +174,8 @@
                 let (path, patience) = match this.generation.get() {
                     None => ("/registry/instances".to_owned(), PATIENCE),
                     Some(g) => (
-                        format!("/registry/instances?index={g}&wait={}", WAIT.as_millis()),
-                        WAIT + WATCH_PATIENCE,
+                        format!("/registry/instances?index={g}&wait={}", this.wait.as_millis()),
+                        this.wait + this.wait.mul_f64(WATCH_PATIENCE_PART).min(WATCH_PATIENCE),
                     ),
                 };
                 match this.call(&mut line, &path, patience).await {
--- a/sloeline/src/main.rs
+++ b/sloeline/src/main.rs
@@ -13,6 +13,7 @@
 
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Duration;
 
 use finchshift as fs;
 use finchshift::{ListKind, Micros, ServerId};
@@ -127,7 +128,8 @@
     spawn_local(upstreams.tend());
     let generation = config.known.as_ref().map(|known| known.generation);
     let unasked = settings.discovery == fs::Discovery::Push;
-    let discovery = Discovery::new(config.discovery, generation, unasked);
+    let drain_grace = Duration::from_micros(settings.rules.drain_grace);
+    let discovery = Discovery::new(config.discovery, generation, unasked, drain_grace);
     let classes: Vec<_> = config
         .setup
         .categories
--- a/sloeline/tests/common/mod.rs
+++ b/sloeline/tests/common/mod.rs
@@ -142,8 +142,9 @@
     format!(r#"{{"generation":{generation},"reset":{reset},"instances":[{}]}}"#, entries.join(","))
 }
 
-/// A class of each effect; `limits` goes into the settings' limits.
-fn settings(discovery: &str, limits: &str, tiers: &str, (balancers, areas): (u32, &str)) -> String {
+/// A class of each effect; what is in `setup` goes into the settings.
+fn settings(discovery: &str, setup: &Setup) -> String {
+    let Setup { limits, tiers, balancers: (balancers, areas), drain_grace_ms, .. } = setup;
     let class = |name: &str, effect: &str| {
         format!(
             r#"{{"Name":"{name}","Effect":"{effect}","Group":"all","DedupWindowMs":60000.0,"TargetMs":20000.0,"DeadlineMs":20000.0,"LateWorth":0.0,"Streaming":false,"Value":1.0}}"#
@@ -151,7 +152,7 @@
     };
     let classes = [class("look", "retryable"), class("pull", "dedup"), class("pay", "fragile")].join(",");
     format!(
-        r#"{{"Areas":[{areas}],"Balancers":{balancers},"Categories":[{classes}],"Discovery":"{discovery}","GranularityMs":1.0,"Limits":{{"Cancel":true,"MostTries":4,"RetryAfter":true,"ConnectTimeoutMs":1000.0{limits}}},"Me":0,"Rules":{{"AskWithinMs":40.0,"ColdFrom":0.5,"DrainGraceMs":500.0,"OverloadFactor":3.0,"TipAfterMs":1000.0,"WarmAfterMs":5000.0}},"Stage":0,"Tiers":[{tiers}],"Zone":"a"}}"#
+        r#"{{"Areas":[{areas}],"Balancers":{balancers},"Categories":[{classes}],"Discovery":"{discovery}","GranularityMs":1.0,"Limits":{{"Cancel":true,"MostTries":4,"RetryAfter":true,"ConnectTimeoutMs":1000.0{limits}}},"Me":0,"Rules":{{"AskWithinMs":40.0,"ColdFrom":0.5,"DrainGraceMs":{drain_grace_ms}.0,"OverloadFactor":3.0,"TipAfterMs":1000.0,"WarmAfterMs":5000.0}},"Stage":0,"Tiers":[{tiers}],"Zone":"a"}}"#
     )
 }
 
@@ -166,6 +167,8 @@
     pub tiers: &'static str,
     /// How many balancers there are in all, and in which zones; this one is in `a`.
     pub balancers: (u32, &'static str),
+    /// How soon the news of a drain must be heeded; a watch waits no longer.
+    pub drain_grace_ms: u32,
     pub sockets: usize,
     pub memory: usize,
     pub listen: String,
@@ -183,6 +186,8 @@
             limits: "",
             tiers: r#""t""#,
             balancers: (1, r#""a""#),
+            // Longer than any test: a watch that a test leaves unanswered is not begun anew.
+            drain_grace_ms: 90_000,
             sockets: 1024,
             memory: 192,
             listen: "127.0.0.1:0".to_owned(),
@@ -205,7 +210,7 @@
             self.listen,
             self.memory,
             self.sockets,
-            settings(mode, self.limits, self.tiers, self.balancers)
+            settings(mode, self)
         )
     }
 
--- a/sloeline/tests/discovery.rs
+++ b/sloeline/tests/discovery.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::io::Write;
+use std::time::{Duration, Instant};
 
 use common::*;
 
@@ -46,6 +47,24 @@
     assert_eq!(balancer.ask(READY).status(), 200);
 }
 
+#[test]
+fn a_watch_that_falls_silent_is_begun_anew_long_before_a_long_wait_is_over() {
+    let (discovery, upstream) = (Peer::new(), Peer::new());
+    let setup = Setup::knowing(&[upstream.address]);
+    let setup = Setup { discovery: Some(discovery.address), unasked: true, drain_grace_ms: 1000, ..setup };
+    let start = Instant::now();
+    let balancer = setup.start();
+    let mut silent = discovery.accept();
+    let call = read(&mut silent).expect("a call");
+    assert!(call.first_line().contains("&wait=400 "), "{}", call.first_line());
+    let call = read(&mut discovery.accept()).expect("a call on a new connection");
+    assert!(call.first_line().contains("index=41&"), "{}", call.first_line());
+    // Wide bounds: it takes under a second, and a watch of 20 s would take that long.
+    assert!(start.elapsed() < Duration::from_secs(15));
+    // The list held before is good all the while.
+    assert_eq!(balancer.ask(READY).status(), 200);
+}
+
 #[test]
 fn news_that_is_to_come_unasked_is_watched_for_from_the_start_and_whatever_fails() {
     let (discovery, upstream) = (Peer::new(), Peer::new());
