Reckon a cold server's pause from all of the balancer's calls, not its zone's

Checked: the list reached every balancer within 0.6 s; the returned servers were not ejected and the window was not what held the calls back, as none went there at all.

At fault: the pause of a cold server in place() and send(). It is reckoned from the calls that the server's zone had lately. A zone that returns had none, so the pause came out at minutes and was cut to the whole warm-up; calls to a zone that is seldom used tell too little as well. A balancer's rate is now that of all its calls, over its whole list. A rate over less than a half-life is not taken for a low one any more, once a few calls were sent.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -224,8 +224,6 @@
     lingering: f64,
     /// With a window under one attempt: nothing goes out earlier.
     resume: Micros,
-    /// Attempts sent, faded: a measure of the rate.
-    sent: f64,
 }
 
 #[derive(Default)]
@@ -308,6 +306,10 @@
     /// Retries that wait for their backoff or are bound to a group.
     retries: Vec<RequestId>,
     retry_budget: f64,
+    /// Attempts sent, faded: a measure of the rate.
+    sent: f64,
+    /// When the first event came.
+    began: Micros,
     failing: f64,
     /// The longest deadline: samples fade by half over it, so a shift shows within seconds.
     half_life: f64,
@@ -337,6 +339,8 @@
             all: Percentiles::default(),
             retries: Vec::new(),
             retry_budget: RETRY_SAVINGS,
+            sent: 0.0,
+            began: 0,
             failing: 0.01,
             half_life: longest as f64,
             stale: [[0.0; 64]; 2],
@@ -353,7 +357,7 @@
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         if !self.started {
             self.started = true;
-            self.housekept = now;
+            (self.housekept, self.began) = (now, now);
             self.housekeep(now, actions);
             if self.settings.discovery == Discovery::Ask {
                 self.ask_within(self.settings.rules.ask_within as f64 * ASK_SPREAD, actions);
@@ -455,20 +459,27 @@
         // What is left for the wait: an answer after it is still to be of use.
         let spare = request.useful as f64 - now as f64 - self.classes[request.class].latency.p50;
         actions.push(if may_refuse && spare > 0.0 {
-            Action::Refuse { request: id, retry_after: self.worked_off().min(spare) as Micros }
+            Action::Refuse { request: id, retry_after: self.worked_off(now).min(spare) as Micros }
         } else {
             Action::Fail { request: id }
         });
     }
 
     /// How long the servers need for what is held, at the rate of late: who comes back sooner only waits too.
-    fn worked_off(&self) -> f64 {
+    fn worked_off(&self, now: Micros) -> f64 {
         let held = self.classes.iter().map(|c| c.held.len()).sum::<usize>() as f64;
-        let sent: f64 = self.pools.values().map(|p| p.sent).sum();
-        let wait = held * self.half_life * std::f64::consts::LOG2_E / sent.max(1.0);
+        let wait = held * self.between_sends(now);
         wait.min(self.settings.limits.max_retry_after as f64)
     }
 
+    /// Mean span between two attempts of late. A balancer that began a moment ago has none that faded; before
+    /// it has sent a few, it reckons as if it had long been sending them.
+    fn between_sends(&self, now: Micros) -> f64 {
+        let unfaded = 0.5_f64.powf((now - self.began) as f64 / self.half_life);
+        let kept = if self.sent < MIN_SAMPLES { 1.0 } else { 1.0 - unfaded };
+        self.half_life * std::f64::consts::LOG2_E * kept / self.sent.max(1.0)
+    }
+
     /// What the class's learned percentiles are, or the pooled ones, or nothing.
     fn percentiles(&self, class: ClassId) -> Option<&Percentiles> {
         [&self.classes[class].latency, &self.all].into_iter().find(|p| p.total >= MIN_SAMPLES)
@@ -633,18 +644,18 @@
         // Prevents silent servers from hiding behind attempts bound by time left alone.
         let patience = self.percentiles(class).map_or(f64::INFINITY, |p| p.p50 * request.scale * PATIENCE);
         let own_limit = learned || limit as f64 > patience;
+        let interval = self.between_sends(now) * self.servers.len() as f64;
         let server = &mut self.servers[at];
         let share = server.share(now, &self.settings.rules);
         let pool = self.pools.entry(server.entry.zone).or_default();
         pool.in_flight += 1;
-        pool.sent += 1.0;
+        self.sent += 1.0;
         server.in_flight += 1;
         for breaker in [0, class + 1] {
             let state = &mut server.breakers[breaker].state;
             *state = if *state == State::Closed { State::Closed } else { State::HalfOpen };
         }
         if share < 1.0 {
-            let interval = self.half_life * std::f64::consts::LOG2_E * pool.servers as f64 / pool.sent;
             let wait = interval / share * (0.5 + self.rng.f64());
             server.hold_while_cold(now + wait as Micros, &self.settings.rules);
         }
@@ -880,9 +891,7 @@
             Some(at) if self.servers[at].entry.started == entry.started => self.servers[at].entry = entry,
             _ => {
                 let in_flight = known.map_or(0, |at| self.servers.remove(at).in_flight);
-                let pool = self.pools.entry(entry.zone).or_default();
-                let interval = self.half_life * std::f64::consts::LOG2_E * pool.servers.max(1) as f64
-                    / pool.sent.max(0.1);
+                let interval = self.between_sends(now) * self.servers.len().max(1) as f64;
                 let breakers = vec![Breaker::default(); self.classes.len() + 1];
                 let mut server = Server { entry, in_flight, breakers, ..Server::default() };
                 if server.share(now, &self.settings.rules) < 1.0 {
@@ -962,11 +971,11 @@
             c.served *= keep;
         }
         self.all.fade(now, self.half_life);
+        self.sent *= keep;
         self.stale.iter_mut().flatten().for_each(|s| *s *= keep);
         let gone = if self.all.p50 > 0.0 { 0.5_f64.powf(span / (LINGER * self.all.p50)) } else { keep };
         for pool in self.pools.values_mut() {
             pool.lingering *= gone;
-            pool.sent *= keep;
         }
         let delay = (self.half_life as Micros / HOUSEKEEPING).max(1);
         actions.push(Action::Timer { delay, token: HOUSEKEEP });
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -370,6 +370,33 @@
     }
 }
 
+#[test]
+fn a_zone_that_returns_cold_is_in_use_while_it_is_cold() {
+    // Nothing was sent to it lately that would tell how often calls come: the other zone had them all.
+    let entry = |id: u32, zone| ServerEntry { zone, ..ServerEntry::new(id) };
+    let mut settings = settings(&[Effect::Safe]);
+    settings.zones = 2;
+    for seed in 0..8 {
+        let servers = vec![entry(0, 0), entry(1, 0), entry(2, 1), entry(3, 1)];
+        let mut world = World::new(settings.clone(), servers, seed);
+        warm_up(&mut world, 0, 100, 5 * MS);
+        let gone = |id| ServerEntry { state: ServerState::Gone, ..entry(id, 0) };
+        world.list(ListKind::Changes, vec![gone(0), gone(1)]);
+        warm_up(&mut world, 0, 100, 5 * MS);
+        let started = Some(world.now);
+        let back = |id| ServerEntry { started, ..entry(id, 0) };
+        world.list(ListKind::Changes, vec![back(0), back(1)]);
+        let before = world.sends.clone();
+        let until = world.now + world.settings.rules.warm_after / 4;
+        while world.now < until {
+            warm_up(&mut world, 0, 1, 5 * MS);
+        }
+        let sent = |id| world.sends[&id] - before[&id];
+        assert!(sent(0) > 0 && sent(1) > 0, "seed {seed}: {} and {}", sent(0), sent(1));
+        assert!(sent(0) + sent(1) < sent(2) + sent(3), "seed {seed}: {} and {}", sent(0), sent(1));
+    }
+}
+
 #[test]
 fn a_burst_does_not_fall_on_a_cold_server() {
     // With nothing in flight it looks best of all, to every balancer at once.
