Shorten a cold server's pause to what the rule lets all balancers send together

Their not_before lay up to 7 s ahead: a balancer calls a server once in two seconds, so its pause at a share of 0.3 is 3 to 10 s, and its rank then thins its calls a second time.

At fault: the wait in place() and send(), one over the balancer's own warm rate. What must hold is a sum over all balancers: the rule's multiple of the present capacity. cold_pause() reckons from that, over all ready servers, as a zone that returns begins with one.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -40,6 +40,9 @@
 const UNREPEATED: f64 = 3.0;
 /// An attempt that ran out after this many P50 counts against its server, whatever bound it.
 const PATIENCE: f64 = 12.0;
+/// A cold server may get this many times what would make it fall over if calls were spread evenly over fully
+/// busy servers. Its rank gives it less while others are free.
+const COLD_BURST: f64 = 1.5;
 /// Retries that one first attempt pays for.
 const RETRY_SHARE: f64 = 0.1;
 /// Retries that may be saved up.
@@ -480,6 +483,14 @@
         self.half_life * std::f64::consts::LOG2_E * kept / self.sent.max(1.0)
     }
 
+    /// Least mean span between two attempts to a cold server, were it at its full capacity: all balancers
+    /// together then send it no more than the rule's multiple of what a server gets. Prevents their first calls
+    /// from falling on it at once; all servers count, since a zone that returns begins with one.
+    fn cold_pause(&self, now: Micros) -> f64 {
+        let ready = self.servers.iter().filter(|s| s.entry.state == ServerState::Ready).count().max(1);
+        self.between_sends(now) * ready as f64 / (COLD_BURST * self.settings.rules.overload_factor)
+    }
+
     /// What the class's learned percentiles are, or the pooled ones, or nothing.
     fn percentiles(&self, class: ClassId) -> Option<&Percentiles> {
         [&self.classes[class].latency, &self.all].into_iter().find(|p| p.total >= MIN_SAMPLES)
@@ -644,7 +655,7 @@
         // Prevents silent servers from hiding behind attempts bound by time left alone.
         let patience = self.percentiles(class).map_or(f64::INFINITY, |p| p.p50 * request.scale * PATIENCE);
         let own_limit = learned || limit as f64 > patience;
-        let interval = self.between_sends(now) * self.servers.len() as f64;
+        let cold_pause = self.cold_pause(now);
         let server = &mut self.servers[at];
         let share = server.share(now, &self.settings.rules);
         let pool = self.pools.entry(server.entry.zone).or_default();
@@ -656,7 +667,7 @@
             *state = if *state == State::Closed { State::Closed } else { State::HalfOpen };
         }
         if share < 1.0 {
-            let wait = interval / share * (0.5 + self.rng.f64());
+            let wait = cold_pause / share * (0.5 + self.rng.f64());
             server.hold_while_cold(now + wait as Micros, &self.settings.rules);
         }
         let gap = server.idle.pop().map_or(0, |since| now - since) / FLOOR as Micros;
@@ -891,11 +902,11 @@
             Some(at) if self.servers[at].entry.started == entry.started => self.servers[at].entry = entry,
             _ => {
                 let in_flight = known.map_or(0, |at| self.servers.remove(at).in_flight);
-                let interval = self.between_sends(now) * self.servers.len().max(1) as f64;
+                let cold_pause = self.cold_pause(now);
                 let breakers = vec![Breaker::default(); self.classes.len() + 1];
                 let mut server = Server { entry, in_flight, breakers, ..Server::default() };
                 if server.share(now, &self.settings.rules) < 1.0 {
-                    let wait = interval / self.settings.rules.cold_from * self.rng.f64();
+                    let wait = cold_pause / self.settings.rules.cold_from * self.rng.f64();
                     server.hold_while_cold(now + wait as Micros, &self.settings.rules);
                 }
                 self.servers.push(server);
