--- a/src/brain.rs
+++ b/src/brain.rs
@@ -483,9 +483,9 @@
         self.half_life * std::f64::consts::LOG2_E * kept / self.sent.max(1.0)
     }
 
-    /// Least mean span between two attempts to a cold server, were it at its full capacity: balancers together
-    /// then send it no more than the rule's multiple of what a server gets. Prevents their first calls from
-    /// falling on it at once; all servers count, since a zone that returns begins with one.
+    /// Least mean span between two attempts to a cold server, were it at its full capacity: balancers
+    /// together then send it no more than the rule's multiple of what a server gets. Prevents their first
+    /// calls from falling on it at once; all servers count, since a zone that returns begins with one.
     fn cold_pause(&self, now: Micros) -> f64 {
         let ready = self.servers.iter().filter(|s| s.entry.state == ServerState::Ready).count().max(1);
         self.between_sends(now) * ready as f64 / (COLD_BURST * self.settings.rules.overload_factor)
