--- a/sloeline/src/config.rs
+++ b/sloeline/src/config.rs
@@ -18,6 +18,7 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    management: Option<String>,
     #[serde(default)]
     seed: String,
     #[serde(default)]
@@ -40,6 +41,8 @@
     pub listen: SocketAddr,
     /// Where discovery is.
     pub discovery: SocketAddr,
+    /// Where operators call; nothing where they have no address.
+    pub management: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// Descriptors that the process may hold.
@@ -67,14 +70,18 @@
         let path = variable("EDGE_CONFIG").ok_or("EDGE_CONFIG is not set")?;
         let text = std::fs::read_to_string(&path).map_err(|e| format!("EDGE_CONFIG {path}: {e}"))?;
         let file: File = serde_json::from_str(&text).map_err(|e| format!("EDGE_CONFIG {path}: {e}"))?;
-        let address = |name: &str, text: Option<String>| {
-            let text = text.ok_or_else(|| format!("{name} is not set"))?;
+        let parsed = |name: &str, text: String| {
             text.parse().map_err(|_| format!("{name}: {text:?} is no address with a port"))
         };
+        let address = |name: &str, text: Option<String>| {
+            parsed(name, text.ok_or_else(|| format!("{name} is not set"))?)
+        };
+        let management = variable("EDGE_MANAGEMENT").or(file.management).filter(|text| !text.is_empty());
         Ok(Config {
             name: variable("EDGE_NAME").or(file.name).unwrap_or_default(),
             listen: address("EDGE_LISTEN", variable("EDGE_LISTEN").or(file.listen))?,
             discovery: address("EDGE_DISCOVERY", discovery.or(file.discovery))?,
+            management: management.map(|text| parsed("EDGE_MANAGEMENT", text)).transpose()?,
             seed: seed(&file.seed)?,
             sockets: file.limits.sockets.unwrap_or(SOCKETS),
             memory: (file.limits.memory_mb.unwrap_or(MEMORY).max(0.0) * f64::from(1 << 20)) as usize,
--- a/sloeline/src/engine.rs
+++ b/sloeline/src/engine.rs
@@ -4,6 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::io;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use finchshift_wirehost::setup::Names;
 use tokio::sync::{Notify, oneshot};
 
+use crate::orders::{Book, Orders};
 use crate::registry::Registry;
 use crate::wire::{Answer, Asked, Clock, Failure, Listed, Target, Wire};
 
@@ -64,6 +66,10 @@
 pub struct Engine<W: Wire> {
     wire: W,
     clock: Clock,
+    /// What operators have set; others than this process may have.
+    book: Rc<Book>,
+    /// The version of it that the module knows.
+    obeyed: Cell<u64>,
     limits: fs::Limits,
     balancer: RefCell<fs::Balancer>,
     tables: RefCell<Tables<W>>,
@@ -122,12 +128,22 @@
 
 impl<W: Wire> Engine<W> {
     /// A balancer with the given settings; `zones` holds the numbers that the settings use.
-    pub fn new(settings: fs::Settings, zones: &Names, seed: u64, wire: W) -> Result<Rc<Self>, String> {
+    pub fn new(
+        settings: fs::Settings,
+        zones: &Names,
+        seed: u64,
+        book: Rc<Book>,
+        wire: W,
+    ) -> Result<Rc<Self>, String> {
+        let mut registry = Registry::new(zones);
+        registry.obey(&book.orders());
         let limits = settings.limits.clone();
         let balancer = fs::Balancer::new(settings, seed).map_err(|e| e.to_string())?;
         Ok(Rc::new(Engine {
             wire,
             clock: Clock::new(),
+            obeyed: Cell::new(book.version()),
+            book,
             limits,
             balancer: RefCell::new(balancer),
             tables: RefCell::new(Tables {
@@ -136,7 +152,7 @@
                 timers: BinaryHeap::new(),
                 timer_number: 0,
                 most_timers: LEAST_TIMERS,
-                registry: Registry::new(zones),
+                registry,
             }),
             events: RefCell::new(VecDeque::new()),
             handling: Cell::new(false),
@@ -172,8 +188,47 @@
         Asking { engine: self.clone(), request: id, answer }
     }
 
+    /// Takes an upstream out until [`include`](Self::include), whatever discovery says. False if none has that
+    /// name. It holds when this returns: nothing is sent any more that is not being sent.
+    pub fn exclude(self: &Rc<Self>, name: &str) -> io::Result<bool> {
+        self.order(name, |orders, _| orders.exclude(name))
+    }
+
+    /// Uses an upstream again; it counts as just started. False if none has that name.
+    pub fn include(self: &Rc<Self>, name: &str) -> io::Result<bool> {
+        self.order(name, |orders, now| orders.include(name, now))
+    }
+
+    fn order(self: &Rc<Self>, name: &str, order: impl FnOnce(&mut Orders, Micros)) -> io::Result<bool> {
+        self.obey();
+        if !self.tables.borrow().registry.knows(name) {
+            return Ok(false);
+        }
+        let now = self.clock.now();
+        self.book.change(|orders| order(orders, now))?;
+        self.obey();
+        Ok(true)
+    }
+
+    /// Looks whether operators have set anything new, through whichever process. Done before each event, it
+    /// binds this one from the moment in which the other said yes.
+    pub fn obey(self: &Rc<Self>) {
+        self.book.look();
+        if self.obeyed.replace(self.book.version()) == self.book.version() {
+            return;
+        }
+        let (entries, out) = self.tables.borrow_mut().registry.obey(&self.book.orders());
+        for server in out {
+            self.wire.close_idle(server);
+        }
+        if !entries.is_empty() {
+            self.hand(Event::Servers { kind: ListKind::Changes, entries });
+        }
+    }
+
     /// News of the list of upstreams; those that moved or are gone lose their idle connections.
     pub fn list(self: &Rc<Self>, kind: ListKind, listed: Vec<Listed>) {
+        self.obey();
         let (entries, stale) = self.tables.borrow_mut().registry.take(kind, &listed);
         for server in stale {
             self.wire.close_idle(server);
@@ -181,7 +236,7 @@
         if kind != ListKind::Failed {
             self.listed.set(true);
         }
-        self.feed(Event::Servers { kind, entries });
+        self.hand(Event::Servers { kind, entries });
     }
 
     /// Starts the module with no list known. Guards against a module that waits for its first event while
@@ -326,8 +381,14 @@
         self.settle(id);
     }
 
-    /// Hands events to the module in their order and does what it wants done.
+    /// An event for the module; what operators have set meanwhile goes first.
     fn feed(self: &Rc<Self>, event: Event) {
+        self.obey();
+        self.hand(event);
+    }
+
+    /// Hands events to the module in their order and does what it wants done.
+    fn hand(self: &Rc<Self>, event: Event) {
         self.events.borrow_mut().push_back(event);
         // Guards against an event that comes of an action while the others of its list are still to be done.
         if self.handling.replace(true) {
@@ -473,7 +534,8 @@
         };
         let mut settings = fs::Settings::new(vec![class]);
         settings.limits.cancel = true;
-        let engine = Engine::new(settings, &Names::default(), 1, fake.clone()).expect("good settings");
+        let engine =
+            Engine::new(settings, &Names::default(), 1, Rc::default(), fake.clone()).expect("good settings");
         let listed = Listed {
             instance: "s-1".to_owned(),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
--- a/sloeline/src/gate.rs
+++ b/sloeline/src/gate.rs
@@ -18,7 +18,7 @@
 use crate::framing::{Framing, request};
 
 /// A connection on which no request is open is kept this long.
-const IDLE_TIME: Duration = Duration::from_secs(2);
+pub const IDLE_TIME: Duration = Duration::from_secs(2);
 /// One that has not been idle for so long is not closed for others.
 const SPARED: Duration = Duration::from_millis(100);
 /// A head may take this long from its first byte.
@@ -164,9 +164,9 @@
 
     /// When it has been at this for too long; a request that is open has a clock of its own. Guards against a
     /// peer that is silent first and slow then, each for less than it may: it is owed an end within 3 s in all.
-    pub fn due(&self) -> Option<Instant> {
+    pub fn due(&self, idle_time: Duration) -> Option<Instant> {
         let due = match self.stage.get() {
-            Stage::Idle => self.since.get() + IDLE_TIME,
+            Stage::Idle => self.since.get() + idle_time,
             Stage::Head => self.first_byte.get() + HEAD_TIME,
             Stage::Body => self.first_byte.get() + BODY_TIME,
             Stage::Open => return None,
@@ -375,14 +375,17 @@
             advance(silence).await;
             for stage in [Stage::Head, Stage::Body] {
                 progress.enter(stage);
-                assert!(progress.due().expect("an end") < start + Duration::from_secs(3), "{stage:?}");
+                assert!(
+                    progress.due(IDLE_TIME).expect("an end") < start + Duration::from_secs(3),
+                    "{stage:?}"
+                );
             }
             // Once a request has come, the next ones have their own time.
             progress.taken();
             progress.answered();
             advance(silence).await;
             progress.enter(Stage::Head);
-            assert_eq!(progress.due(), Some(Instant::now() + HEAD_TIME));
+            assert_eq!(progress.due(IDLE_TIME), Some(Instant::now() + HEAD_TIME));
         });
     }
 }
--- /dev/null
+++ b/sloeline/src/handover.rs
@@ -0,0 +1,118 @@
+//! The replacement of the process while it serves: the listener that the platform holds, and whether another
+//! process of this balancer lives.
+
+use std::fs::{File, TryLockError};
+use std::io;
+use std::net::TcpListener;
+use std::os::fd::{BorrowedFd, FromRawFd, OwnedFd, RawFd};
+use std::path::Path;
+
+use socket2::{Domain, SockRef, Type};
+
+/// Processes of one balancer that may live at once: the one that leaves, its successor and a spare.
+const MOST: usize = 4;
+
+/// Takes the listening socket that `EDGE_FD` names. To be called before anything else is opened: a number that
+/// was not inherited could be another descriptor's by then.
+pub fn listener(text: &str) -> Result<TcpListener, String> {
+    let wrong = |why: &str| format!("EDGE_FD: {text:?} {why}");
+    let number: RawFd = text.parse().ok().filter(|n| *n >= 0).ok_or_else(|| wrong("is no descriptor"))?;
+    let io = |e: io::Error| wrong(&format!("is no open socket: {e}"));
+    // SAFETY: nothing else in this process owns or closes the descriptor; if it is not open, each call on it
+    // fails and nothing is taken.
+    #[allow(unsafe_code)]
+    let borrowed = unsafe { BorrowedFd::borrow_raw(number) };
+    let socket = SockRef::from(&borrowed);
+    let tcp = socket.r#type().map_err(io)? == Type::STREAM
+        && [Domain::IPV4, Domain::IPV6].contains(&socket.domain().map_err(io)?);
+    if !tcp || !socket.is_listener().map_err(io)? {
+        return Err(wrong("is no listening TCP socket"));
+    }
+    // Every process shares it: it is closed here in time, and never shut down.
+    socket.set_cloexec(true).map_err(io)?;
+    socket.set_nonblocking(true).map_err(io)?;
+    // SAFETY: it is open, as the calls above have shown, and was handed to this process to own.
+    #[allow(unsafe_code)]
+    let owned = unsafe { OwnedFd::from_raw_fd(number) };
+    Ok(TcpListener::from(owned))
+}
+
+/// This process's sign of life, and those of others. Each is a lock on a file, which the system frees when its
+/// process ends, however it ends.
+pub struct Presence {
+    _own: File,
+    others: Vec<File>,
+}
+
+impl Presence {
+    /// Makes this process known in the folder.
+    pub fn enter(folder: &Path) -> io::Result<Presence> {
+        let mut files = (0..MOST)
+            .map(|n| File::create(folder.join(format!("sloeline-process-{n}.lock"))))
+            .collect::<io::Result<Vec<_>>>()?;
+        // A place that another looks at in this moment seems taken: the next one will do.
+        let free = files.iter().position(|file| file.try_lock().is_ok());
+        let own =
+            files.remove(free.ok_or_else(|| io::Error::other("too many processes of this balancer live"))?);
+        Ok(Presence { _own: own, others: files })
+    }
+
+    /// How many others live.
+    pub fn others(&self) -> usize {
+        let lives = |file: &&File| match file.try_lock_shared() {
+            Ok(()) => file.unlock().is_err(),
+            Err(TryLockError::WouldBlock) => true,
+            Err(TryLockError::Error(_)) => false,
+        };
+        self.others.iter().filter(lives).count()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::net::{TcpStream, UdpSocket};
+    use std::os::fd::{AsRawFd, IntoRawFd};
+
+    #[test]
+    fn only_a_listening_tcp_socket_is_taken() {
+        let listening = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listening.local_addr().expect("an address");
+        let connected = TcpStream::connect(address).expect("it listens");
+        let datagrams = UdpSocket::bind("127.0.0.1:0").expect("a port");
+        for (text, why) in [
+            (String::new(), "is no descriptor"),
+            ("seven".to_owned(), "is no descriptor"),
+            ("-1".to_owned(), "is no descriptor"),
+            ("100000".to_owned(), "is no open socket"),
+            (connected.as_raw_fd().to_string(), "is no listening TCP socket"),
+            (datagrams.as_raw_fd().to_string(), "is no listening TCP socket"),
+        ] {
+            let refused = listener(&text).expect_err("it is refused");
+            assert!(refused.contains("EDGE_FD") && refused.contains(why), "{refused}");
+        }
+        let taken = listener(&listening.into_raw_fd().to_string()).expect("a listener");
+        assert_eq!(taken.local_addr().expect("an address"), address);
+        let info =
+            std::fs::read_to_string(format!("/proc/self/fdinfo/{}", taken.as_raw_fd())).expect("its flags");
+        let flags = info.lines().find_map(|l| l.strip_prefix("flags:")).expect("a line").trim();
+        let close_on_exec = 0o2_000_000;
+        assert_ne!(u32::from_str_radix(flags, 8).expect("a number") & close_on_exec, 0, "{flags}");
+        drop((connected, taken));
+    }
+
+    #[test]
+    fn others_are_known_while_they_live() {
+        let folder = std::env::temp_dir().join(format!("sloeline-presence-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let one = Presence::enter(&folder).expect("a place");
+        assert_eq!(one.others(), 0);
+        let other = Presence::enter(&folder).expect("a place");
+        assert_eq!((one.others(), other.others()), (1, 1));
+        drop(one);
+        assert_eq!(other.others(), 0);
+        let again = Presence::enter(&folder).expect("a place");
+        assert_eq!((again.others(), other.others()), (1, 1));
+        std::fs::remove_dir_all(&folder).expect("a folder");
+    }
+}
--- a/sloeline/src/main.rs
+++ b/sloeline/src/main.rs
@@ -5,12 +5,17 @@
 mod engine;
 mod framing;
 mod gate;
+mod handover;
+mod management;
+mod orders;
 mod pool;
 mod registry;
+mod room;
 mod server;
 mod upstream;
 mod wire;
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,19 +23,23 @@
 use finchshift as fs;
 use finchshift::{ListKind, Micros, ServerId};
 use finchshift_wirehost::setup::{Names, settings};
-use tokio::net::TcpSocket;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
 
 use config::Config;
 use discovery::Discovery;
 use engine::{Engine, Report};
-use server::{Phase, Room, Server};
+use handover::Presence;
+use management::Desk;
+use orders::Book;
+use server::{Door, Life, Room, Server};
 use upstream::{Attempt, Call, Reply, Upstreams};
 use wire::{Target, Wire};
 
-/// Descriptors for the runtime, the signals, the listener, discovery and standard streams.
+/// Descriptors for the runtime, the signals, the listeners, discovery, the locks, operators' calls and standard
+/// streams.
 const RESERVED: usize = 40;
 /// Part of the other descriptors that callers may hold; upstreams have the rest.
 const CALLERS: f64 = 0.55;
@@ -39,6 +48,8 @@
 const BODIES: f64 = 0.4;
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
+/// How often is looked whether another process of this balancer lives, and what operators have set there.
+const LOOK: Duration = Duration::from_millis(50);
 
 fn main() -> ExitCode {
     match start() {
@@ -51,14 +62,17 @@
 }
 
 fn start() -> Result<(), String> {
+    // Before anything else is opened, which could get its number.
+    let inherited = variable("EDGE_FD").filter(|text| !text.is_empty());
+    let inherited = inherited.map(|text| handover::listener(&text)).transpose()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| e.to_string())?;
-    LocalSet::new().block_on(&runtime, run())
+    LocalSet::new().block_on(&runtime, run(inherited))
 }
 
 /// The sockets that the engine's actions act on.
 struct Net {
-    upstreams: Upstreams,
+    upstreams: Rc<Upstreams>,
     discovery: Rc<Discovery>,
 }
 
@@ -112,19 +126,45 @@
     }
 }
 
-async fn run() -> Result<(), String> {
+/// What one of so many processes of this balancer may take up: connections to upstreams, and the callers' room.
+fn room(config: &Config, processes: usize) -> (usize, Room) {
+    let free = (config.sockets / processes).saturating_sub(RESERVED).max(2);
+    let places = ((free as f64 * CALLERS) as usize).max(1);
+    let bodies = (config.memory as f64 * BODIES) as usize / processes;
+    (free - places, Room { places, bodies })
+}
+
+/// Listens on an address of this balancer's own.
+fn listen(address: SocketAddr) -> Result<TcpListener, String> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+    let listener = socket.and_then(|s| {
+        s.set_reuseaddr(true)?;
+        s.bind(address)?;
+        s.listen(BACKLOG)
+    });
+    listener.map_err(|e| format!("{address}: {e}"))
+}
+
+async fn run(inherited: Option<std::net::TcpListener>) -> Result<(), String> {
     // The signals before all else: until it is handled, SIGHUP ends the process.
     let order = |kind| signal(kind).map_err(|e| e.to_string());
     let mut hangup = order(SignalKind::hangup())?;
     let mut terminate = order(SignalKind::terminate())?;
     let mut interrupt = order(SignalKind::interrupt())?;
-    let config = Config::read(variable)?;
+    let mut config = Config::read(variable)?;
     let mut zones = Names::default();
     let settings = settings(&config.setup, &mut zones)?;
 
-    let free = config.sockets.saturating_sub(RESERVED).max(2);
-    let callers = ((free as f64 * CALLERS) as usize).max(1);
-    let upstreams = Upstreams::new(&settings.limits, free - callers);
+    let shared = inherited.is_some();
+    let folder = if shared || config.management.is_some() { orders::folder(variable)? } else { None };
+    let book = Rc::new(Book::open(folder.as_deref()));
+    let presence = folder.as_deref().filter(|_| shared).map(Presence::enter).transpose();
+    let presence = presence.map_err(|e| format!("TMPDIR: {e}"))?;
+    let processes = move || 1 + presence.as_ref().map_or(0, Presence::others);
+    let mut known_processes = processes();
+
+    let (connections, callers) = room(&config, known_processes);
+    let upstreams = Rc::new(Upstreams::new(&settings.limits, connections));
     spawn_local(upstreams.tend());
     let generation = config.known.as_ref().map(|known| known.generation);
     let unasked = settings.discovery == fs::Discovery::Push;
@@ -138,8 +178,14 @@
         .zip(settings.classes.iter().cloned())
         .collect();
     let tenants = config.setup.realms.iter().map(|r| r.name.clone()).collect();
-    let engine = Engine::new(settings, &zones, config.seed, Net { upstreams, discovery: discovery.clone() })?;
-    match config.known {
+    let engine = Engine::new(
+        settings,
+        &zones,
+        config.seed,
+        book.clone(),
+        Net { upstreams: upstreams.clone(), discovery: discovery.clone() },
+    )?;
+    match config.known.take() {
         Some(known) => engine.list(ListKind::Stale, known.entries()),
         None => engine.begin(),
     }
@@ -158,26 +204,51 @@
         }
     });
 
-    let socket = if config.listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
-    let listener = socket.and_then(|s| {
-        s.set_reuseaddr(true)?;
-        s.bind(config.listen)?;
-        s.listen(BACKLOG)
-    });
-    let listener = listener.map_err(|e| format!("{}: {e}", config.listen))?;
+    let listener = match inherited {
+        Some(listener) => TcpListener::from_std(listener).map_err(|e| format!("EDGE_FD: {e}"))?,
+        None => listen(config.listen)?,
+    };
     let address = listener.local_addr().map_err(|e| e.to_string())?;
+    let life = Life::new(book);
+    let management = config.management.map(listen).transpose().map_err(|e| format!("EDGE_MANAGEMENT {e}"))?;
     eprintln!("sloeline {} listens on {address}", config.name);
+    if let Some(management) = management {
+        let address = management.local_addr().map_err(|e| e.to_string())?;
+        eprintln!("sloeline {} takes operators' calls on {address}", config.name);
+        spawn_local(Desk::new(engine.clone(), life.clone()).serve(management));
+    }
 
-    let (phases, phase) = watch::channel(Phase::Running);
-    let stop = phases.clone();
-    spawn_local(async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+    spawn_local({
+        let life = life.clone();
+        async move {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            life.stop();
         }
-        let _ = stop.send(Phase::Stopping);
     });
-    let room = Room { places: callers, bodies: (config.memory as f64 * BODIES) as usize };
-    Server::new(engine, classes, tenants, room, phase).serve(listener, phases).await;
+    let server = Server::new(engine.clone(), classes, tenants, callers, life.clone());
+    life.accompany(known_processes > 1);
+    if folder.is_some() {
+        let server = server.clone();
+        spawn_local(async move {
+            loop {
+                sleep(LOOK).await;
+                life.follow();
+                engine.obey();
+                let now = processes();
+                if now != known_processes {
+                    known_processes = now;
+                    eprintln!("sloeline: {now} processes of this balancer live and share its room");
+                    let (connections, callers) = room(&config, now);
+                    upstreams.resize(connections);
+                    server.resize(&callers);
+                    life.accompany(now > 1);
+                }
+            }
+        });
+    }
+    server.serve(Door { listener, shared }).await;
     Ok(())
 }
--- /dev/null
+++ b/sloeline/src/orders.rs
@@ -0,0 +1,194 @@
+//! What operators have set by hand. It holds for every process of this balancer and over its replacement, so it
+//! is kept in one file that all of them look at.
+
+use std::cell::{Cell, Ref, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs::{self, File};
+use std::io::{self, ErrorKind, Write};
+use std::os::unix::fs::MetadataExt;
+use std::path::{Path, PathBuf};
+
+use finchshift::Micros;
+use serde::{Deserialize, Serialize};
+
+const FILE: &str = "sloeline-orders.json";
+const WRITTEN: &str = "sloeline-orders.new";
+const LOCK: &str = "sloeline-orders.lock";
+/// A return is forgotten after this: whatever came back is warm by then.
+const RETURNS_KEPT: Micros = 3_600_000_000;
+
+/// The orders in force.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Orders {
+    /// Upstreams that are out, by the names that discovery gives them.
+    pub out: BTreeSet<String>,
+    /// When those that were out came back, in Unix time.
+    pub back: BTreeMap<String, Micros>,
+    /// Clients are sent away.
+    pub evacuated: bool,
+}
+
+impl Orders {
+    /// Takes an upstream out; nothing new if it is.
+    pub fn exclude(&mut self, name: &str) {
+        self.out.insert(name.to_owned());
+    }
+
+    /// Ends that; it counts as started now, since operators restart it meanwhile. Nothing new if it was not out.
+    pub fn include(&mut self, name: &str, now: Micros) {
+        if self.out.remove(name) {
+            self.back.retain(|_, at| now.saturating_sub(*at) < RETURNS_KEPT);
+            self.back.insert(name.to_owned(), now);
+        }
+    }
+}
+
+/// Tells one version of the file from the next: each is a file of its own.
+type Stamp = (u64, i64, i64, u64);
+
+/// The orders and the file that they are kept in, if there is a folder for it.
+#[derive(Default)]
+pub struct Book {
+    folder: Option<PathBuf>,
+    orders: RefCell<Orders>,
+    stamp: Cell<Option<Stamp>>,
+    version: Cell<u64>,
+}
+
+impl Book {
+    /// The orders that the folder holds. One that cannot be read holds none: serving goes first.
+    pub fn open(folder: Option<&Path>) -> Book {
+        let book = Book { folder: folder.map(Path::to_owned), ..Book::default() };
+        book.look();
+        book
+    }
+
+    /// Another number each time the orders have changed.
+    pub fn version(&self) -> u64 {
+        self.version.get()
+    }
+
+    fn take(&self, orders: Orders) {
+        if self.orders.replace(orders.clone()) != orders {
+            self.version.set(self.version.get() + 1);
+        }
+    }
+
+    /// The orders as last looked at.
+    pub fn orders(&self) -> Ref<'_, Orders> {
+        self.orders.borrow()
+    }
+
+    /// Looks at the file, which another process may have replaced. Costs one call to the system while it has not.
+    /// What cannot be read is logged once and passed over.
+    pub fn look(&self) {
+        let Some(folder) = &self.folder else { return };
+        let path = folder.join(FILE);
+        let stamp = fs::metadata(&path).ok().map(|found| stamp(&found));
+        if stamp.is_none() || stamp == self.stamp.get() {
+            return;
+        }
+        self.stamp.set(stamp);
+        match fs::read(&path).and_then(|text| Ok(serde_json::from_slice(&text)?)) {
+            Ok(orders) => self.take(orders),
+            Err(e) => eprintln!("orders: {} is passed over: {e}", path.display()),
+        }
+    }
+
+    /// Changes the orders, for all processes once this returns.
+    pub fn change(&self, change: impl FnOnce(&mut Orders)) -> io::Result<()> {
+        let Some(folder) = &self.folder else {
+            let mut orders = self.orders().clone();
+            change(&mut orders);
+            self.take(orders);
+            return Ok(());
+        };
+        // Guards against another process that changes them at the same moment.
+        let lock = File::create(folder.join(LOCK))?;
+        lock.lock()?;
+        self.look();
+        let mut orders = self.orders().clone();
+        change(&mut orders);
+        // Whole or not at all: a reader never meets a part of it.
+        let written = folder.join(WRITTEN);
+        let mut file = File::create(&written)?;
+        file.write_all(&serde_json::to_vec(&orders)?)?;
+        fs::rename(&written, folder.join(FILE))?;
+        self.stamp.set(Some(stamp(&file.metadata()?)));
+        self.take(orders);
+        Ok(())
+    }
+}
+
+fn stamp(found: &fs::Metadata) -> Stamp {
+    (found.ino(), found.mtime(), found.mtime_nsec(), found.size())
+}
+
+/// The folder for what outlives a process, if there is one.
+pub fn folder(variable: impl Fn(&str) -> Option<String>) -> Result<Option<PathBuf>, String> {
+    let Some(path) = variable("TMPDIR").filter(|path| !path.is_empty()).map(PathBuf::from) else {
+        return Ok(None);
+    };
+    match fs::metadata(&path) {
+        Ok(found) if found.is_dir() => Ok(Some(path)),
+        Ok(_) => Err(format!("TMPDIR {}: {}", path.display(), io::Error::from(ErrorKind::NotADirectory))),
+        Err(e) => Err(format!("TMPDIR {}: {e}", path.display())),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A folder of the test's own.
+    fn with(name: &str, test: impl FnOnce(&Path)) {
+        let folder = std::env::temp_dir().join(format!("sloeline-orders-{}-{name}", std::process::id()));
+        fs::create_dir_all(&folder).expect("a folder");
+        test(&folder);
+        fs::remove_dir_all(&folder).expect("a folder");
+    }
+
+    #[test]
+    fn what_one_process_is_told_the_other_sees_and_a_later_one_finds() {
+        with("shared", |folder| {
+            let (one, other) = (Book::open(Some(folder)), Book::open(Some(folder)));
+            one.change(|o| o.exclude("s-1")).expect("it is written");
+            other.change(|o| o.exclude("s-2")).expect("it is written");
+            let before = one.version();
+            one.look();
+            one.look();
+            assert_eq!(one.version(), before + 1);
+            for book in [&one, &other, &Book::open(Some(folder))] {
+                assert_eq!(book.orders().out.iter().collect::<Vec<_>>(), ["s-1", "s-2"]);
+            }
+        });
+    }
+
+    #[test]
+    fn orders_are_a_set_and_a_return_is_a_start() {
+        let mut orders = Orders::default();
+        orders.include("s-1", 5);
+        assert_eq!(orders, Orders::default(), "it was never out");
+        orders.exclude("s-1");
+        orders.exclude("s-1");
+        orders.include("s-1", 7);
+        orders.include("s-1", 9);
+        assert_eq!((orders.out.len(), orders.back["s-1"]), (0, 7));
+    }
+
+    #[test]
+    fn a_file_that_is_cut_short_changes_nothing() {
+        with("short", |folder| {
+            let book = Book::open(Some(folder));
+            book.change(|o| o.exclude("s-1")).expect("it is written");
+            fs::write(folder.join(FILE), b"{\"out\":[\"s-").expect("a file");
+            book.look();
+            assert!(book.orders().out.contains("s-1"));
+            assert_eq!(*Book::open(Some(folder)).orders(), Orders::default());
+            // The next change makes it whole again.
+            book.change(|o| o.exclude("s-2")).expect("it is written");
+            assert_eq!(Book::open(Some(folder)).orders().out.len(), 2);
+        });
+    }
+}
--- a/sloeline/src/pool.rs
+++ b/sloeline/src/pool.rs
@@ -137,7 +137,7 @@
 pub struct Pool {
     idle: RefCell<HashMap<ServerId, Vec<Idle>>>,
     open: Rc<Cell<usize>>,
-    most: usize,
+    most: Cell<usize>,
     keep: Duration,
     connect_timeout: Duration,
     filled: Notify,
@@ -151,7 +151,7 @@
         Pool {
             idle: RefCell::default(),
             open: Rc::default(),
-            most,
+            most: Cell::new(most),
             keep: span(keep, KEEP_UNTOLD),
             connect_timeout: span(limits.connect_timeout, CONNECT_UNTOLD),
             filled: Notify::new(),
@@ -169,6 +169,15 @@
         self.idle.borrow_mut().remove(&server);
     }
 
+    /// Never more than this many from now on; idle ones beyond it are closed.
+    pub fn resize(&self, most: usize) {
+        self.most.set(most);
+        let mut beyond = self.open.get().saturating_sub(most);
+        while beyond > 0 && self.close_oldest() {
+            beyond -= 1;
+        }
+    }
+
     /// The idle connection used last that is still good.
     pub fn take(&self, to: Target) -> Option<Conn> {
         let mut idle = self.idle.borrow_mut();
@@ -183,6 +192,9 @@
 
     /// Keeps a connection for the next request to this upstream.
     pub fn put(&self, server: ServerId, conn: Conn) {
+        if self.open.get() > self.most.get() {
+            return;
+        }
         self.idle.borrow_mut().entry(server).or_default().push(Idle { conn, since: Instant::now() });
         self.filled.notify_one();
     }
@@ -197,7 +209,7 @@
     /// A new connection, or why there is none.
     pub async fn connect(&self, address: SocketAddr) -> Result<Conn, Outcome> {
         // Guards the limit on descriptors: a connection is turned into another, or the attempt is not sent.
-        while self.open.get() >= self.most {
+        while self.open.get() >= self.most.get() {
             if !self.close_oldest() {
                 return Err(Outcome::NotSent);
             }
--- a/sloeline/src/registry.rs
+++ b/sloeline/src/registry.rs
@@ -1,14 +1,17 @@
 //! The upstreams that discovery names: their numbers for the module, and where they are.
 
-use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
+use std::collections::{HashMap, HashSet, VecDeque};
 
 use finchshift as fs;
 use finchshift::{ListKind, ServerId, ServerState};
 use finchshift_wirehost::setup::{Names, ring};
 
+use crate::orders::Orders;
 use crate::wire::{Listed, Target};
 
+/// Names of upstreams that have left the list which are still known to operators.
+const MOST_PAST: usize = 4096;
+
 /// Numbers for names, never given twice: what still holds the number of one that is gone can't mistake another
 /// for it, and one that comes back begins anew, with no breaker and no count.
 struct Numbers {
@@ -32,14 +35,36 @@
     }
 }
 
-/// Where an upstream is, and which zone and kind it was given.
+/// What discovery last said of an upstream, and which zone and kind it was given.
 struct Place {
-    address: SocketAddr,
+    listed: Listed,
     zone: u32,
     kind: u32,
 }
 
-/// All upstreams that are listed; those that are gone are forgotten.
+impl Place {
+    /// Its entry for the module. What operators have set lies over what discovery says: one that is out drains,
+    /// one that came back has started then, or later if discovery says so.
+    fn entry(&self, id: ServerId, orders: &Orders) -> fs::ServerEntry {
+        let l = &self.listed;
+        fs::ServerEntry {
+            id,
+            zone: self.zone,
+            kind: self.kind,
+            cell: l.cell,
+            // Of the instance: its address differs between balancers, the ring must not.
+            ring: ring(&l.instance),
+            state: match l.state {
+                ServerState::Ready if orders.out.contains(&l.instance) => ServerState::Draining,
+                state => state,
+            },
+            weight: if l.weight.is_finite() && l.weight > 0.0 { l.weight } else { 1.0 },
+            started: l.started.max(orders.back.get(&l.instance).copied()),
+        }
+    }
+}
+
+/// All upstreams that are listed; of those that are gone the names alone are kept, and not without end.
 pub struct Registry {
     servers: Numbers,
     places: HashMap<ServerId, Place>,
@@ -47,6 +72,9 @@
     /// Zones that the settings number.
     settled: u32,
     kinds: Numbers,
+    orders: Orders,
+    /// Names that left the list, oldest first.
+    past: VecDeque<String>,
 }
 
 impl Registry {
@@ -56,12 +84,50 @@
         let named = zones.names.iter().cloned().zip(0..).collect();
         let none = || Numbers { by_name: HashMap::new(), next: 0 };
         let zones = Numbers { by_name: named, next: settled };
-        Registry { servers: none(), places: HashMap::new(), zones, settled, kinds: none() }
+        Registry {
+            servers: none(),
+            places: HashMap::new(),
+            zones,
+            settled,
+            kinds: none(),
+            orders: Orders::default(),
+            past: VecDeque::new(),
+        }
     }
 
-    /// Where an upstream is, if it is listed.
+    /// Where an upstream is, if it is listed and not taken out by hand.
     pub fn target(&self, server: ServerId) -> Option<Target> {
-        self.places.get(&server).map(|p| Target { server, address: p.address })
+        let place = self.places.get(&server).filter(|p| !self.orders.out.contains(&p.listed.instance));
+        place.map(|p| Target { server, address: p.listed.address })
+    }
+
+    /// Whether a list has named the upstream, be it long ago.
+    pub fn knows(&self, name: &str) -> bool {
+        let ordered = self.orders.out.contains(name) || self.orders.back.contains_key(name);
+        ordered || self.servers.by_name.contains_key(name) || self.past.iter().any(|past| past == name)
+    }
+
+    /// Takes over what operators have set: the entries that it changes, and those that are out now.
+    pub fn obey(&mut self, orders: &Orders) -> (Vec<fs::ServerEntry>, Vec<ServerId>) {
+        let before = std::mem::replace(&mut self.orders, orders.clone());
+        let changed = |(id, place): (&ServerId, &Place)| {
+            let entry = place.entry(*id, orders);
+            (entry != place.entry(*id, &before)).then_some(entry)
+        };
+        let mut entries: Vec<_> = self.places.iter().filter_map(changed).collect();
+        entries.sort_by_key(|e| e.id);
+        let out = |id: &ServerId| orders.out.contains(&self.places[id].listed.instance);
+        let left = entries.iter().map(|e| e.id).filter(out).collect();
+        (entries, left)
+    }
+
+    fn pass(&mut self, name: String) {
+        if !self.past.contains(&name) {
+            self.past.push_back(name);
+        }
+        if self.past.len() > MOST_PAST {
+            self.past.pop_front();
+        }
     }
 
     /// Takes a list over: its entries for the module, and those that moved or are gone.
@@ -75,32 +141,26 @@
             }
             let id = self.servers.number(&l.instance);
             let (zone, kind) = (self.zones.number(&l.zone), self.kinds.number(&l.kind));
+            let place = Place { listed: l.clone(), zone, kind };
+            entries.push(place.entry(id, &self.orders));
             let gone = l.state == ServerState::Gone;
             let before = if gone {
                 self.servers.by_name.remove(&l.instance);
+                self.pass(l.instance.clone());
                 self.places.remove(&id)
             } else {
                 named.insert(id);
-                self.places.insert(id, Place { address: l.address, zone, kind })
+                self.places.insert(id, place)
             };
-            if gone || before.is_some_and(|b| b.address != l.address) {
+            if gone || before.is_some_and(|b| b.listed.address != l.address) {
                 left.push(id);
             }
-            entries.push(fs::ServerEntry {
-                id,
-                zone,
-                kind,
-                cell: l.cell,
-                // Of the instance: its address differs between balancers, the ring must not.
-                ring: ring(&l.instance),
-                state: l.state,
-                weight: if l.weight.is_finite() && l.weight > 0.0 { l.weight } else { 1.0 },
-                started: l.started,
-            });
         }
         if matches!(kind, ListKind::Complete | ListKind::Stale) {
             left.extend(self.places.keys().filter(|id| !named.contains(id)));
-            self.places.retain(|id, _| named.contains(id));
+            let gone = self.places.extract_if(|id, _| !named.contains(id));
+            let names: Vec<_> = gone.map(|(_, place)| place.listed.instance).collect();
+            names.into_iter().for_each(|name| self.pass(name));
             self.servers.keep(&named);
         }
         let zones = self.places.values().map(|p| p.zone).chain(0..self.settled).collect();
@@ -114,6 +174,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::net::SocketAddr;
 
     fn listed(instance: &str, port: u16, state: ServerState) -> Listed {
         Listed {
@@ -157,6 +218,41 @@
         assert_eq!((registry.zones.by_name.len(), registry.zones.number("home")), (1, home));
     }
 
+    #[test]
+    fn one_that_is_out_drains_whatever_discovery_lists_and_comes_back_cold() {
+        let mut registry = Registry::new(&Names::default());
+        let ready = |started| Listed { started, ..listed("a", 80, ServerState::Ready) };
+        let state = |taken: (Vec<fs::ServerEntry>, Vec<ServerId>)| {
+            taken.0.iter().map(|e| (e.state, e.started)).collect::<Vec<_>>()
+        };
+        registry.take(ListKind::Complete, &[ready(None), listed("b", 81, ServerState::Ready)]);
+        let mut orders = Orders::default();
+        orders.exclude("a");
+        let id = registry.servers.by_name["a"];
+        let (entries, left) = registry.obey(&orders);
+        assert_eq!((entries.len(), entries[0].state, left), (1, ServerState::Draining, vec![id]));
+        assert!(registry.target(id).is_none());
+        assert_eq!(registry.obey(&orders), (Vec::new(), Vec::new()), "told once more");
+        // A changed entry, the whole list, gone and listed anew: it stays out.
+        let out = |started| vec![(ServerState::Draining, started)];
+        assert_eq!(state(registry.take(ListKind::Changes, &[ready(Some(3))])), out(Some(3)));
+        assert_eq!(state(registry.take(ListKind::Complete, &[ready(Some(3))])), out(Some(3)));
+        registry.take(ListKind::Changes, &[listed("a", 80, ServerState::Gone)]);
+        assert!(registry.knows("a") && registry.knows("b") && !registry.knows("c"));
+        assert_eq!(state(registry.take(ListKind::Changes, &[ready(Some(4))])), out(Some(4)));
+        // Back, it has started then, until discovery knows of a later start.
+        orders.include("a", 7);
+        assert_eq!(state(registry.obey(&orders)), [(ServerState::Ready, Some(7))]);
+        assert_eq!(
+            state(registry.take(ListKind::Changes, &[ready(Some(6))])),
+            [(ServerState::Ready, Some(7))]
+        );
+        assert_eq!(
+            state(registry.take(ListKind::Changes, &[ready(Some(8))])),
+            [(ServerState::Ready, Some(8))]
+        );
+    }
+
     #[test]
     fn one_that_moved_or_was_replaced_at_its_address_loses_its_connections() {
         let mut registry = Registry::new(&Names::default());
--- /dev/null
+++ b/sloeline/src/room.rs
@@ -0,0 +1,91 @@
+//! What is limited and can be taken and given back, with a limit that may change.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use tokio::sync::Notify;
+
+/// So much of something is taken, of so much at the most.
+pub struct Gauge {
+    used: Cell<usize>,
+    most: Cell<usize>,
+    freed: Notify,
+}
+
+/// A part that is taken; given back when dropped.
+pub struct Taken {
+    gauge: Rc<Gauge>,
+    amount: usize,
+}
+
+impl Gauge {
+    /// Nothing taken yet.
+    pub fn new(most: usize) -> Rc<Gauge> {
+        Rc::new(Gauge { used: Cell::new(0), most: Cell::new(most), freed: Notify::new() })
+    }
+
+    /// Takes a part, if there is room for it.
+    pub fn take(self: &Rc<Self>, amount: usize) -> Option<Taken> {
+        let fits = self.used.get().checked_add(amount).is_some_and(|used| used <= self.most.get());
+        fits.then(|| self.squeeze(amount))
+    }
+
+    /// Takes a part, room or not.
+    pub fn squeeze(self: &Rc<Self>, amount: usize) -> Taken {
+        self.used.set(self.used.get() + amount);
+        Taken { gauge: self.clone(), amount }
+    }
+
+    /// Another limit. What is taken stays so.
+    pub fn resize(&self, most: usize) {
+        self.most.set(most);
+        self.freed.notify_one();
+    }
+
+    /// More is taken than the limit allows.
+    pub fn over(&self) -> bool {
+        self.used.get() > self.most.get()
+    }
+
+    /// How much of it is taken, as a part of the whole.
+    pub fn used_part(&self) -> f64 {
+        self.used.get() as f64 / self.most.get().max(1) as f64
+    }
+
+    /// Waits until something has been given back.
+    pub async fn freed(&self) {
+        self.freed.notified().await;
+    }
+
+    /// Waits until nothing is taken.
+    pub async fn empty(&self) {
+        while self.used.get() > 0 {
+            self.freed().await;
+        }
+    }
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        self.gauge.used.set(self.gauge.used.get() - self.amount);
+        self.gauge.freed.notify_one();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_smaller_limit_holds_for_what_is_taken_from_then_on() {
+        let gauge = Gauge::new(4);
+        let held: Vec<_> = (0..4).map(|_| gauge.take(1).expect("room")).collect();
+        assert!(gauge.take(1).is_none());
+        gauge.resize(2);
+        assert!(gauge.over());
+        drop(held);
+        let two = gauge.take(2).expect("room");
+        assert!(gauge.take(usize::MAX).is_none() && gauge.take(1).is_none() && !gauge.over());
+        drop(two);
+    }
+}
--- a/sloeline/src/server.rs
+++ b/sloeline/src/server.rs
@@ -7,7 +7,6 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::task::Poll;
 use std::time::Duration;
 
@@ -22,12 +21,14 @@
 use hyper::{Method, Request, Response, StatusCode, body::Body, body::Incoming, server::conn::http1};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{AcquireError, OwnedSemaphorePermit, Semaphore, watch};
+use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::engine::Engine;
-use crate::gate::{Crowd, Fault, Gate, Progress, Stage};
+use crate::gate::{Crowd, Fault, Gate, IDLE_TIME, Progress, Stage};
+use crate::orders::Book;
+use crate::room::{Gauge, Taken};
 use crate::upstream::{Call, MOST_BODY, Reply};
 use crate::wire::{Answer, Asked, Failure, Wire};
 
@@ -41,6 +42,8 @@
 const UNHURRIED: Duration = Duration::from_millis(600);
 /// How long a connection that has carried nothing is still kept when no more come.
 const NOTHING_YET: Duration = Duration::from_millis(200);
+/// How long an idle one is kept while each answer is its connection's last: callers soon use it or do without.
+const QUICK_IDLE: Duration = Duration::from_secs(1);
 /// Pause after a connection could not be taken for want of descriptors.
 const NO_SOCKET_PAUSE: Duration = Duration::from_millis(20);
 /// Part of the connections from which on answers close theirs: room for callers that have none.
@@ -54,14 +57,93 @@
 const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
 /// How far the balancer is with its life.
-#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Phase {
     /// Takes what comes.
     Running,
+    /// Clients are sent away, until operators end that: unready, and each answer is its connection's last.
+    Evacuated,
     /// Told to stop: unready, but connections still come.
     Stopping,
     /// None come any more.
     Closing,
+    /// The same where another process takes them: callers may keep theirs until the next answer.
+    Leaving,
+}
+
+impl Phase {
+    /// The order to stop has come.
+    fn ends(self) -> bool {
+        !matches!(self, Phase::Running | Phase::Evacuated)
+    }
+
+    /// Whether each answer is its connection's last.
+    fn parts(self) -> bool {
+        !matches!(self, Phase::Running | Phase::Stopping)
+    }
+}
+
+/// The phase of the balancer's life, and the orders that change it.
+pub struct Life {
+    phases: watch::Sender<Phase>,
+    book: Rc<Book>,
+    /// Another process of this balancer lives.
+    accompanied: Cell<bool>,
+}
+
+impl Life {
+    /// Just begun.
+    pub fn new(book: Rc<Book>) -> Rc<Life> {
+        let life = Life { phases: watch::Sender::new(Phase::Running), book, accompanied: Cell::default() };
+        life.follow();
+        Rc::new(life)
+    }
+
+    /// The present phase, once what operators have set has been looked at.
+    pub fn follow(&self) -> Phase {
+        self.book.look();
+        let evacuated = self.book.orders().evacuated;
+        self.phases.send_if_modified(|phase| {
+            let before = *phase;
+            *phase = match before {
+                Phase::Running if evacuated => Phase::Evacuated,
+                Phase::Evacuated if !evacuated => Phase::Running,
+                other => other,
+            };
+            if *phase != before {
+                eprintln!("sloeline: clients are {}", if evacuated { "sent away" } else { "taken again" });
+            }
+            *phase != before
+        });
+        *self.phases.borrow()
+    }
+
+    /// Sends clients away, or takes them again.
+    pub fn evacuate(&self, evacuated: bool) -> io::Result<()> {
+        self.book.change(|orders| orders.evacuated = evacuated)?;
+        self.follow();
+        Ok(())
+    }
+
+    /// The order to stop.
+    pub fn stop(&self) {
+        self.phases.send_if_modified(|phase| {
+            !phase.ends() && {
+                *phase = Phase::Stopping;
+                true
+            }
+        });
+    }
+
+    /// Whether another process of this balancer lives.
+    pub fn accompany(&self, accompanied: bool) {
+        self.accompanied.set(accompanied);
+    }
+
+    /// This process takes connections.
+    pub fn takes(&self) -> bool {
+        !self.phases.borrow().ends()
+    }
 }
 
 /// What callers may take up.
@@ -72,23 +154,30 @@
     pub bodies: usize,
 }
 
+/// The listener, and whether another process shares it.
+pub struct Door {
+    /// Where connections come from.
+    pub listener: TcpListener,
+    /// The platform holds it: what comes after the order to stop is a successor's.
+    pub shared: bool,
+}
+
 /// What the answering of requests needs.
 pub struct Server<W: Wire<Call = Call, Reply = Reply>> {
     engine: Rc<Engine<W>>,
     classes: HashMap<String, (fs::ClassId, fs::Class)>,
     tenants: HashMap<String, fs::TenantId>,
-    places: Arc<Semaphore>,
-    most: usize,
+    places: Rc<Gauge>,
     crowd: Rc<Crowd>,
-    /// Bytes that bodies and answers may still take.
-    bodies: Cell<usize>,
+    /// Bytes that bodies and answers take.
+    bodies: Rc<Gauge>,
     /// The ids of the requests that are open.
     ids: RefCell<HashSet<HeaderValue>>,
     /// When the order to stop came.
     ordered: Cell<Option<Instant>>,
     /// How long after it the last answer is given.
     leave_within: Duration,
-    phase: watch::Receiver<Phase>,
+    life: Rc<Life>,
 }
 
 impl<W: Wire<Call = Call, Reply = Reply>> Server<W> {
@@ -98,95 +187,93 @@
         classes: Vec<(String, fs::Class)>,
         tenants: Vec<String>,
         room: Room,
-        phase: watch::Receiver<Phase>,
+        life: Rc<Life>,
     ) -> Rc<Self> {
         let longest = classes.iter().map(|(_, class)| class.deadline).max().unwrap_or(0);
         let leave_within = Duration::from_micros(longest).min(LONGEST_WAIT) + KILL_MARGIN;
         let classes = classes.into_iter().enumerate().map(|(i, (name, class))| (name, (i, class))).collect();
         let tenants = tenants.into_iter().enumerate().map(|(i, name)| (name, i)).collect();
-        let (places, most) = (Arc::new(Semaphore::new(room.places)), room.places);
-        let (crowd, bodies, ids) = (Rc::default(), Cell::new(room.bodies), RefCell::default());
-        let ordered = Cell::default();
-        Rc::new(Server {
-            engine,
-            classes,
-            tenants,
-            places,
-            most,
-            crowd,
-            bodies,
-            ids,
-            ordered,
-            leave_within,
-            phase,
-        })
+        let (places, bodies) = (Gauge::new(room.places), Gauge::new(room.bodies));
+        let (crowd, ids, ordered) = (Rc::default(), RefCell::default(), Cell::default());
+        Rc::new(Server { engine, classes, tenants, places, crowd, bodies, ids, ordered, leave_within, life })
     }
 
-    /// Takes connections until the order to stop and a little longer; returns when all are closed.
-    pub async fn serve(self: Rc<Self>, listener: TcpListener, phases: watch::Sender<Phase>) {
-        let mut phase = self.phase.clone();
+    /// Other room than before. What is taken beyond it is given back as connections become idle.
+    pub fn resize(&self, room: &Room) {
+        self.places.resize(room.places);
+        self.bodies.resize(room.bodies);
+        while self.places.over() && self.crowd.close_oldest().is_ok() {}
+    }
+
+    /// Takes connections until the order to stop, and a little longer where they are nobody else's; returns when
+    /// all are closed.
+    pub async fn serve(self: Rc<Self>, door: Door) {
+        let mut phase = self.life.phases.subscribe();
         let mut stop_at = None;
         loop {
             let end = async {
                 match stop_at {
                     Some(at) => sleep_until(at).await,
                     None => {
-                        let _ = phase.wait_for(|p| *p != Phase::Running).await;
+                        let _ = phase.wait_for(|p| p.ends()).await;
                     }
                 }
             };
-            let accept = async {
-                let accepted = listener.accept().await;
-                (self.place().await, accepted)
-            };
-            tokio::select! {
+            let accepted = tokio::select! {
                 biased;
-                (place, accepted) = accept => match (place, accepted) {
-                    (Ok(place), Ok((stream, _))) => {
-                        let progress = Progress::new(self.crowd.clone());
-                        let task = spawn_local(self.clone().connection(stream, place, progress.clone()));
-                        progress.of(task.abort_handle());
-                    }
-                    // Guards against a spin while no descriptor is free: the connection stays in the queue.
-                    _ => sleep(NO_SOCKET_PAUSE).await,
-                },
                 () = end => match stop_at {
                     Some(_) => break,
                     None => {
                         eprintln!("sloeline: told to stop");
                         let now = Instant::now();
                         self.ordered.set(Some(now));
+                        if door.shared {
+                            break;
+                        }
                         stop_at = Some(now + self.leave_within.mul_f64(STILL_TAKEN));
+                        continue;
                     }
                 },
-            }
+                accepted = door.listener.accept() => accepted,
+            };
+            let Ok((stream, _)) = accepted else {
+                // Guards against a spin while no descriptor is free: the connection stays in the queue.
+                sleep(NO_SOCKET_PAUSE).await;
+                continue;
+            };
+            // Guards what was accepted against the order to stop: it is this process's to serve.
+            let place = tokio::select! {
+                place = self.place() => place,
+                _ = phase.wait_for(|p| p.ends()), if door.shared => self.places.squeeze(1),
+            };
+            let progress = Progress::new(self.crowd.clone());
+            let task = spawn_local(self.clone().connection(stream, place, progress.clone()));
+            progress.of(task.abort_handle());
         }
-        drop(listener);
-        let _ = phases.send(Phase::Closing);
-        let _ = self.places.acquire_many(self.most as u32).await;
+        // Closed here; another process that holds it goes on accepting.
+        drop(door.listener);
+        self.life.phases.send_replace(if door.shared { Phase::Leaving } else { Phase::Closing });
+        self.places.empty().await;
     }
 
     /// A place for a new connection. Guards against those that say nothing and leave none: the one that has
     /// been idle longest makes room.
-    async fn place(&self) -> Result<OwnedSemaphorePermit, AcquireError> {
-        while self.places.available_permits() == 0 {
+    async fn place(&self) -> Taken {
+        loop {
+            if let Some(place) = self.places.take(1) {
+                return place;
+            }
             match self.crowd.close_oldest() {
-                Ok(()) | Err(None) => break,
+                Ok(()) | Err(None) => self.places.freed().await,
                 Err(Some(ripe)) => tokio::select! {
-                    place = self.places.clone().acquire_owned() => return place,
+                    () = self.places.freed() => {}
                     () = sleep_until(ripe) => {}
                 },
             }
         }
-        self.places.clone().acquire_owned().await
     }
 
-    async fn connection(
-        self: Rc<Self>,
-        stream: TcpStream,
-        place: OwnedSemaphorePermit,
-        progress: Rc<Progress>,
-    ) {
+    async fn connection(self: Rc<Self>, stream: TcpStream, place: Taken, progress: Rc<Progress>) {
         let _place = place;
         let _ = stream.set_nodelay(true);
         let used = Rc::new(Cell::new(false));
@@ -201,11 +288,12 @@
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MOST_BODY);
         let mut connection = builder.serve_connection(Gate::new(stream, progress.clone()), service);
-        let mut phase = self.phase.clone();
+        let mut phase = self.life.phases.subscribe();
         let mut late = Box::pin(sleep(Duration::ZERO));
         loop {
             let now = *phase.borrow_and_update();
             // Not before: callers that find their connections closed may have no other balancer yet.
+            let idle_time = if now.parts() { QUICK_IDLE } else { IDLE_TIME };
             if now == Phase::Closing {
                 Pin::new(&mut connection).graceful_shutdown();
             }
@@ -214,7 +302,7 @@
                 if connection.poll_without_shutdown(cx).is_ready() {
                     return Poll::Ready(false);
                 }
-                let Some(due) = progress.due() else { return Poll::Pending };
+                let Some(due) = progress.due(idle_time) else { return Poll::Pending };
                 if late.deadline() != due {
                     late.as_mut().reset(due);
                 }
@@ -255,15 +343,20 @@
         if !last {
             progress.answered();
         }
-        let crowded = (self.places.available_permits() as f64) < (1.0 - CROWDED) * self.most as f64;
-        if last || crowded || *self.phase.borrow() == Phase::Closing {
+        if last || self.places.used_part() > CROWDED || self.life.phases.borrow().parts() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
     }
 
     fn ready(&self) -> Response<Full<Bytes>> {
-        if *self.phase.borrow() == Phase::Running && self.engine.listed() {
+        // A successor answers for both: the address goes on taking clients.
+        let taking = match self.life.follow() {
+            Phase::Running => true,
+            Phase::Stopping | Phase::Leaving => self.life.accompanied.get(),
+            Phase::Evacuated | Phase::Closing => false,
+        };
+        if taking && self.engine.listed() {
             plain(StatusCode::OK, "ready")
         } else {
             plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
@@ -273,7 +366,7 @@
     async fn api(&self, request: Request<Incoming>, progress: &Progress) -> Response<Full<Bytes>> {
         // The longest that it can get, and its answer beside. Guards the memory: past the bound nothing is read.
         let body = request.body().size_hint().exact().unwrap_or(u64::MAX).min(MOST_BODY as u64);
-        let Some(_bytes) = Share::take(&self.bodies, body as usize + MOST_BODY) else {
+        let Some(_bytes) = self.bodies.take(body as usize + MOST_BODY) else {
             return plain(StatusCode::SERVICE_UNAVAILABLE, "no room");
         };
         let asked = match self.read(request).await {
@@ -390,25 +483,6 @@
     Ok(())
 }
 
-/// A share of the bytes that bodies may take.
-struct Share<'a> {
-    left: &'a Cell<usize>,
-    bytes: usize,
-}
-
-impl Share<'_> {
-    fn take(left: &Cell<usize>, bytes: usize) -> Option<Share<'_>> {
-        left.set(left.get().checked_sub(bytes)?);
-        Some(Share { left, bytes })
-    }
-}
-
-impl Drop for Share<'_> {
-    fn drop(&mut self) {
-        self.left.set(self.left.get() + self.bytes);
-    }
-}
-
 /// The id of a request that is open.
 struct Id<'a> {
     ids: &'a RefCell<HashSet<HeaderValue>>,
--- a/sloeline/src/upstream.rs
+++ b/sloeline/src/upstream.rs
@@ -142,6 +142,11 @@
         Upstreams { pool: Rc::new(Pool::new(limits, most)) }
     }
 
+    /// Never more than `most` connections from now on.
+    pub fn resize(&self, most: usize) {
+        self.pool.resize(most);
+    }
+
     /// Closes idle connections in time; never returns.
     pub fn tend(&self) -> impl Future<Output = ()> + use<> {
         self.pool.clone().tend()
--- a/sloeline/tests/common/mod.rs
+++ b/sloeline/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -173,6 +174,12 @@
     pub memory: usize,
     pub listen: String,
     pub descriptors: Option<u32>,
+    /// Where operators call, if anywhere.
+    pub management: Option<&'static str>,
+    /// The folder that all processes of the balancer share.
+    pub folder: Option<PathBuf>,
+    /// The listener that the platform holds.
+    pub door: Option<TcpListener>,
 }
 
 impl Setup {
@@ -192,6 +199,9 @@
             memory: 192,
             listen: "127.0.0.1:0".to_owned(),
             descriptors: None,
+            management: None,
+            folder: None,
+            door: None,
         }
     }
 
@@ -228,19 +238,50 @@
         // As the platform does: the variable stays what it was when the process started.
         let discovery = self.discovery.unwrap_or_else(nowhere).to_string();
         command.env("EDGE_DISCOVERY", discovery).env("EDGE_CONFIG", &file).stderr(Stdio::piped());
+        command.env_remove("TMPDIR").env_remove("EDGE_FD").env_remove("EDGE_MANAGEMENT");
+        if let Some(folder) = &self.folder {
+            command.env("TMPDIR", folder);
+        }
+        if let Some(address) = self.management {
+            command.env("EDGE_MANAGEMENT", address);
+        }
+        if let Some(door) = self.door {
+            // Standard input is the one number that is inherited for sure.
+            command.env("EDGE_FD", "0").stdin(Stdio::from(OwnedFd::from(door)));
+        }
         let mut child = command.spawn().expect("it starts");
         let mut log = BufReader::new(child.stderr.take().expect("a pipe"));
-        let mut line = String::new();
-        log.read_line(&mut line).expect("a line");
-        let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
-        let address = address.unwrap_or_else(|| panic!("no address in {line:?}"));
+        let mut address = || {
+            let mut line = String::new();
+            log.read_line(&mut line).expect("a line");
+            let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
+            address.unwrap_or_else(|| panic!("no address in {line:?}"))
+        };
+        let (address, management) = (address(), self.management.map(|_| address()));
         let (sender, lines) = channel();
         std::thread::spawn(move || {
             log.lines().map_while(Result::ok).for_each(|l| {
                 let _ = sender.send(l);
             });
         });
-        Balancer { child, address, log: lines, file }
+        Balancer { child, address, management, log: lines, file }
+    }
+}
+
+/// A folder for what processes of one balancer share; removed when dropped.
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    pub fn new(name: &str) -> Folder {
+        let path = std::env::temp_dir().join(format!("sloeline-test-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&path).expect("a folder");
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
     }
 }
 
@@ -270,6 +311,7 @@
 pub struct Balancer {
     pub child: Child,
     pub address: SocketAddr,
+    pub management: Option<SocketAddr>,
     pub log: Receiver<String>,
     pub file: PathBuf,
 }
@@ -295,6 +337,22 @@
         exchange(&mut self.connect(), request)
     }
 
+    /// A call of operators; its status.
+    pub fn call(&self, method: &str, path: &str) -> u16 {
+        let mut stream = self.desk();
+        let call = format!("{method} {path} HTTP/1.1\r\nHost: b\r\n\r\n");
+        let said = exchange(&mut stream, &call);
+        assert!(closed(&mut stream), "one call to a connection");
+        said.status()
+    }
+
+    /// A connection to the second address.
+    pub fn desk(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.management.expect("an address")).expect("it listens");
+        let _ = stream.set_read_timeout(Some(LONG));
+        stream
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
--- /dev/null
+++ b/sloeline/tests/operators.rs
@@ -0,0 +1,193 @@
+//! Operators' calls at the second address, and the replacement of the process.
+
+mod common;
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::mpsc::Receiver;
+use std::time::{Duration, Instant};
+
+use common::*;
+
+const DESK: Option<&str> = Some("127.0.0.1:0");
+
+/// An upstream that answers at once and tells what it got.
+fn upstream() -> (SocketAddr, Receiver<Message>) {
+    let peer = Peer::new();
+    (peer.address, peer.serve(|_, stream| ok(stream)))
+}
+
+fn managed(upstreams: &[SocketAddr]) -> Setup {
+    Setup { management: DESK, ..Setup::knowing(upstreams) }
+}
+
+/// Requests in a row, each on a connection of its own.
+fn ask(balancer: &Balancer, ids: std::ops::Range<u32>) {
+    for id in ids {
+        assert_eq!(balancer.ask(&request("pay", &format!("r-{id}"), "")).status(), 200);
+    }
+}
+
+#[test]
+fn an_upstream_taken_out_gets_nothing_until_it_is_put_back() {
+    let ((a, to_a), (b, to_b)) = (upstream(), upstream());
+    let folder = Folder::new("out");
+    let balancer = Setup { folder: Some(folder.0.clone()), ..managed(&[a, b]) }.start();
+    ask(&balancer, 0..20);
+    assert!(to_a.try_iter().count() > 0 && to_b.try_iter().count() > 0);
+    // Twice out needs one call back.
+    assert_eq!(balancer.call("POST", "/api/exclude/s-0"), 200);
+    assert_eq!(balancer.call("POST", "/api/exclude/s-0"), 200);
+    ask(&balancer, 20..40);
+    assert_eq!((to_a.try_iter().count(), to_b.try_iter().count()), (0, 20));
+    // With all out, what comes is refused at once.
+    assert_eq!(balancer.call("POST", "/api/exclude/s-1"), 200);
+    let start = Instant::now();
+    assert_eq!(balancer.ask(&request("pay", "r-40", "")).status(), 503);
+    assert!(start.elapsed() < Duration::from_secs(5), "held for its 20 s");
+    assert_eq!(balancer.call("POST", "/api/include/s-0"), 200);
+    ask(&balancer, 41..45);
+    assert_eq!((to_a.try_iter().count(), to_b.try_iter().count()), (4, 0));
+}
+
+#[test]
+fn what_is_no_call_changes_nothing() {
+    let (a, to_a) = upstream();
+    let balancer = managed(&[a]).start();
+    for (method, path, status) in [
+        ("GET", "/api/exclude/s-0", 405),
+        ("POST", "/api/exclude/", 400),
+        ("POST", "/api/exclude/s-%f", 400),
+        ("POST", "/api/exclude/s-9", 404),
+        ("POST", "/api/include/s-9", 404),
+        ("POST", "/api/drain", 404),
+        ("POST", "/api/ready", 405),
+        ("GET", "/api/ready", 200),
+        // Put back without having been out: no news, and it is not cold.
+        ("POST", "/api/include/s-0", 200),
+    ] {
+        assert_eq!(balancer.call(method, path), status, "{method} {path}");
+    }
+    let mut stream = balancer.desk();
+    assert_eq!(exchange(&mut stream, "POST api/exclude/s-0\r\n\r\n").status(), 400);
+    let mut stream = balancer.desk();
+    let long = format!(
+        "POST /api/exclude/s-0 HTTP/1.1\r\nHost: b\r\nContent-Length: 90000\r\n\r\n{}",
+        "x".repeat(8000)
+    );
+    assert_eq!(exchange(&mut stream, &long).status(), 413);
+    ask(&balancer, 0..3);
+    assert_eq!(to_a.try_iter().count(), 3);
+}
+
+#[test]
+fn callers_that_finish_no_call_delay_none() {
+    let balancer = managed(&[nowhere()]).start();
+    let mut unfinished: Vec<_> = (0..40).map(|_| balancer.desk()).collect();
+    for (n, stream) in unfinished.iter_mut().enumerate() {
+        // Some of them may have been closed already.
+        let _ = stream.write_all(&b"POST /api/evacuate HTTP/1.1\r\nHost"[..n % 30]);
+    }
+    let start = Instant::now();
+    assert_eq!(balancer.call("GET", "/api/ready"), 200);
+    assert!(start.elapsed() < Duration::from_secs(3), "after the others' time");
+    assert_eq!(balancer.ask(READY).status(), 200);
+}
+
+#[test]
+fn clients_are_sent_away_and_taken_again() {
+    let (a, _requests) = upstream();
+    let balancer = managed(&[a]).start();
+    let (mut used, mut idle) = (balancer.connect(), balancer.connect());
+    for stream in [&mut used, &mut idle] {
+        assert_eq!(exchange(stream, READY).header("connection"), None);
+    }
+    // The end of a drain that never began is no error; two begin one.
+    assert_eq!(balancer.call("POST", "/api/rejoin"), 200);
+    assert_eq!(balancer.call("POST", "/api/evacuate"), 200);
+    assert_eq!(balancer.call("POST", "/api/evacuate"), 200);
+    let start = Instant::now();
+    assert_eq!(balancer.ask(READY).status(), 503);
+    let served = exchange(&mut used, &request("pay", "r-1", ""));
+    assert_eq!((served.status(), served.header("connection")), (200, Some("close")));
+    assert!(closed(&mut used) && closed(&mut idle));
+    assert!(start.elapsed() < Duration::from_secs(10), "kept in spite of the drain");
+    assert_eq!(balancer.call("GET", "/api/ready"), 200);
+    assert_eq!(balancer.call("POST", "/api/rejoin"), 200);
+    let mut again = balancer.connect();
+    assert_eq!(exchange(&mut again, READY).status(), 200);
+    let served = exchange(&mut again, &request("pay", "r-2", ""));
+    assert_eq!((served.status(), served.header("connection")), (200, None));
+}
+
+#[test]
+fn the_end_comes_during_a_drain_too() {
+    let mut balancer = managed(&[nowhere()]).start();
+    assert_eq!(balancer.call("POST", "/api/evacuate"), 200);
+    balancer.terminate();
+    assert!(balancer.child.wait().expect("it ends").success());
+}
+
+#[test]
+fn a_process_is_replaced_without_its_clients_noticing() {
+    let ((a, to_a), (b, to_b), (c, to_c)) = (upstream(), upstream(), upstream());
+    let folder = Folder::new("replaced");
+    let door = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let start = || {
+        let (folder, door) = (Some(folder.0.clone()), Some(door.try_clone().expect("a descriptor")));
+        Setup { folder, door, ..managed(&[a, b, c]) }.start()
+    };
+    let mut old = start();
+    assert_eq!(old.address, door.local_addr().expect("an address"));
+    assert_eq!(old.call("POST", "/api/exclude/s-0"), 200);
+    for round in 0..3 {
+        // While there is one process, a connection is surely its own.
+        let mut kept = old.connect();
+        assert_eq!(exchange(&mut kept, READY).status(), 200);
+        let new = start();
+        assert_eq!(new.call("GET", "/api/ready"), 200);
+        old.logged("2 processes");
+        ask(&new, 20 * round..20 * round + 10);
+        to_c.try_iter().count();
+        // What one is told binds the other from the yes on.
+        assert_eq!(new.call("POST", "/api/exclude/s-2"), 200);
+        for id in 20 * round + 10..20 * round + 20 {
+            assert_eq!(exchange(&mut kept, &request("pay", &format!("r-{id}"), "")).status(), 200);
+        }
+        assert_eq!((to_a.try_iter().count(), to_c.try_iter().count()), (0, 0));
+        assert!(to_b.try_iter().count() >= 10);
+        assert_eq!(new.call("POST", "/api/include/s-2"), 200);
+
+        old.terminate();
+        old.logged("told to stop");
+        assert_eq!(old.call("GET", "/api/ready"), 503);
+        // Its connections are kept until their next answer, and the address is ready all the while.
+        let ready = exchange(&mut kept, READY);
+        assert_eq!((ready.status(), ready.header("connection")), (200, Some("close")));
+        assert!(closed(&mut kept));
+        assert!(old.child.wait().expect("it ends").success());
+        new.logged("1 processes");
+        old = new;
+    }
+}
+
+#[test]
+fn a_descriptor_that_is_no_listener_is_one_plain_line() {
+    for (fd, why) in [("seven", "no descriptor"), ("99", "no open socket"), ("1", "no open socket")] {
+        let ended = start_on(Some(&good_config()), &[("EDGE_FD", fd)]);
+        let text = String::from_utf8_lossy(&ended.stderr);
+        assert!(!ended.status.success(), "{fd}");
+        assert!(text.contains("EDGE_FD") && text.contains(why) && text.lines().count() == 1, "{text}");
+    }
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = taken.local_addr().expect("an address").to_string();
+    for (value, why) in [("here", "no address"), (&address[..], "in use")] {
+        let ended = start_on(Some(&good_config()), &[("EDGE_MANAGEMENT", value)]);
+        let text = String::from_utf8_lossy(&ended.stderr);
+        assert!(!ended.status.success(), "{value}");
+        assert!(
+            text.contains("EDGE_MANAGEMENT") && text.contains(why) && text.lines().count() == 1,
+            "{text}"
+        );
+    }
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -302,6 +302,8 @@
     servers: Vec<Server>,
     /// Where the preferred servers stand among them.
     preferred: Vec<usize>,
+    /// Servers are known, and all of them drain.
+    all_drain: bool,
     pools: BTreeMap<ZoneId, Pool>,
     requests: BTreeMap<RequestId, Request>,
     classes: Vec<ClassState>,
@@ -337,6 +339,7 @@
             rng: fastrand::Rng::with_seed(seed),
             servers: Vec::new(),
             preferred: Vec::new(),
+            all_drain: false,
             pools: BTreeMap::new(),
             requests: BTreeMap::new(),
             all: Percentiles::default(),
@@ -503,7 +506,7 @@
         let p50 = self.percentiles(request.class).map_or(0.0, |p| p.p50);
         // Prevents a final answer that comes too late, where looks are further apart than the grace for it.
         let last_look = now + self.look >= request.deadline;
-        last_look || left <= 0.0 || left < p50.min(aim * ALWAYS_SENT) * request.scale
+        last_look || self.all_drain || left <= 0.0 || left < p50.min(aim * ALWAYS_SENT) * request.scale
     }
 
     /// Classes by what their requests are worth for their work, most first; the worst-served class counts for
@@ -924,6 +927,8 @@
             pool.in_flight += s.in_flight;
         }
         self.pools.retain(|_, p| p.servers > 0);
+        self.all_drain = self.servers.iter().all(|s| s.entry.state == ServerState::Draining);
+        self.all_drain &= !self.servers.is_empty();
         self.prefer();
         for (&zone, pool) in &mut self.pools {
             if pool.window == 0.0 {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -338,6 +338,19 @@
     assert_eq!(world.sends.get(&0), None);
 }
 
+#[test]
+fn with_all_servers_draining_requests_are_refused_at_once() {
+    let mut world = world(&[Effect::Safe], 2);
+    let drains = |id| ServerEntry { state: ServerState::Draining, ..ServerEntry::new(id) };
+    world.list(ListKind::Changes, vec![drains(0), drains(1)]);
+    let refused = world.request(0);
+    assert_eq!(world.refused, [refused]);
+    // One that is back takes what comes.
+    world.list(ListKind::Changes, vec![ServerEntry::new(1)]);
+    world.request(0);
+    assert_eq!((world.sends.get(&1), world.refused.len()), (Some(&1), 1));
+}
+
 #[test]
 fn a_cold_server_gets_its_cold_share() {
     let mut world = world(&[Effect::Safe], 4);
