--- a/sloeline/src/engine.rs
+++ b/sloeline/src/engine.rs
@@ -16,6 +16,7 @@
 
 use crate::orders::{Book, Orders};
 use crate::registry::Registry;
+use crate::stream::End;
 use crate::wire::{Answer, Asked, Clock, Failure, Listed, Target, Wire};
 
 /// The module is told this much less than the client's time: the answer's way back and the timers' grain.
@@ -38,6 +39,7 @@
     attempt: u32,
     server: ServerId,
     at: Micros,
+    limit: Micros,
     handle: Option<O>,
 }
 
@@ -46,7 +48,9 @@
     call: Rc<W::Call>,
     /// Where the final answer goes; nothing once it went or the client left.
     answer: Option<oneshot::Sender<Answer<W::Reply>>>,
-    deadline: Micros,
+    /// Nothing while its body is still coming.
+    deadline: Option<Micros>,
+    time_left: Micros,
     sent: u32,
     out: Vec<Out<W::Out>>,
     failure: Failure,
@@ -113,6 +117,23 @@
 impl<W: Wire> Asking<W> {
     /// The final answer.
     pub async fn answer(mut self) -> Answer<W::Reply> {
+        self.next().await
+    }
+
+    /// The same for a request whose body is still coming; how it ends without it if the body never does.
+    pub async fn answer_upload(mut self, end: impl Future<Output = End>) -> Result<Answer<W::Reply>, End> {
+        tokio::select! {
+            biased;
+            answer = self.next() => return Ok(answer),
+            end = end => match end {
+                End::Whole => self.engine.uploaded(self.request),
+                end => return Err(end),
+            },
+        }
+        Ok(self.next().await)
+    }
+
+    async fn next(&mut self) -> Answer<W::Reply> {
         (&mut self.answer).await.unwrap_or_else(|_| {
             eprintln!("defect: request {} was dropped without an answer", self.request);
             Answer::Failed(Failure::Upstream)
@@ -170,24 +191,47 @@
     pub fn ask(self: &Rc<Self>, asked: Asked<W::Call>) -> Asking<W> {
         let (sender, answer) = oneshot::channel();
         let now = self.clock.now();
-        let deadline = now + asked.time_left;
+        let Asked { class, time_left, tenant, work, retry, upload, call } = asked;
+        let deadline = (!upload).then_some(now + time_left);
         let id = {
             let mut tables = self.tables.borrow_mut();
             let id = tables.next;
             tables.next += 1;
-            let call = Rc::new(asked.call);
-            let failure = Failure::Time;
-            let open = Open { call, answer: Some(sender), deadline, sent: 0, out: Vec::new(), failure };
+            let (call, answer) = (Rc::new(call), Some(sender));
+            let (out, failure) = (Vec::new(), Failure::Time);
+            let open = Open { call, answer, deadline, time_left, sent: 0, out, failure };
             tables.open.insert(id, open);
             id
         };
-        self.set_timer(deadline.saturating_sub(LAST_RESORT), Due::LastResort(id));
-        let time_left = asked.time_left.saturating_sub(MARGIN);
-        let Asked { class, tenant, work, retry, .. } = asked;
-        self.feed(Event::Request { id, class, time_left, tenant, work, retry });
+        if let Some(deadline) = deadline {
+            self.set_timer(deadline.saturating_sub(LAST_RESORT), Due::LastResort(id));
+        }
+        let time_left = time_left.saturating_sub(MARGIN);
+        self.feed(Event::Request { id, class, time_left, tenant, work, retry, upload });
         Asking { engine: self.clone(), request: id, answer }
     }
 
+    /// A request's last byte has come: its time starts, and that of its attempt.
+    fn uploaded(self: &Rc<Self>, id: RequestId) {
+        let now = self.clock.now();
+        let (deadline, limits) = {
+            let mut tables = self.tables.borrow_mut();
+            let Some(open) = tables.open.get_mut(&id) else { return };
+            let deadline = now + open.time_left;
+            open.deadline = Some(deadline);
+            let limit = |out: &mut Out<W::Out>| {
+                out.at = now;
+                (out.attempt, out.limit.min(open.time_left.saturating_sub(LAST_RESORT)))
+            };
+            (deadline, open.out.iter_mut().map(limit).collect::<Vec<_>>())
+        };
+        self.set_timer(deadline.saturating_sub(LAST_RESORT), Due::LastResort(id));
+        for (attempt, limit) in limits {
+            self.set_timer(now + limit, Due::Limit(id, attempt));
+        }
+        self.feed(Event::Uploaded { request: id });
+    }
+
     /// Takes an upstream out until [`include`](Self::include), whatever discovery says. False if none has that
     /// name. It holds when this returns: nothing is sent any more that is not being sent.
     pub fn exclude(self: &Rc<Self>, name: &str) -> io::Result<bool> {
@@ -373,9 +417,10 @@
             {
                 let _ = answer.send(Answer::Served(reply));
             }
-            let closed = open.answer.is_none();
+            let (closed, spent) = (open.answer.is_none(), W::spent(&open.call));
             let latency = now.saturating_sub(out.at);
-            Event::Outcome { request: id, attempt, server: out.server, outcome, latency, closed, load }
+            let server = out.server;
+            Event::Outcome { request: id, attempt, server, outcome, latency, closed, spent, load }
         };
         self.feed(event);
         self.settle(id);
@@ -451,23 +496,34 @@
     /// Starts an attempt. What the rules forbid whatever the module says is not sent, and told so.
     fn send(self: &Rc<Self>, now: Micros, id: RequestId, server: ServerId, limit: Micros) {
         let target = self.target(server);
-        let (call, attempt, limit) = {
+        let (call, attempt, limit, started) = {
             let mut tables = self.tables.borrow_mut();
             let Some(open) = tables.open.get_mut(&id) else {
                 drop(tables);
                 let (outcome, latency) = (Outcome::NotSent, 0);
                 let (attempt, closed, load) = (0, true, None);
-                let event = Event::Outcome { request: id, attempt, server, outcome, latency, closed, load };
+                let event = Event::Outcome {
+                    request: id,
+                    attempt,
+                    server,
+                    outcome,
+                    latency,
+                    closed,
+                    spent: false,
+                    load,
+                };
                 return self.events.borrow_mut().push_back(event);
             };
             let attempt = open.sent;
             open.sent += 1;
-            let left = open.deadline.saturating_sub(now + LAST_RESORT);
+            let started = open.deadline.is_some();
+            let left = open.deadline.unwrap_or(now + open.time_left).saturating_sub(now + LAST_RESORT);
             let limit = if limit == 0 { left } else { limit.min(left) };
             let copies = open.out.is_empty() || self.limits.second_copies;
             let may = open.answer.is_some() && copies && attempt < self.limits.max_attempts && limit > 0;
-            open.out.push(Out { attempt, server, at: now, handle: None });
-            (may.then(|| open.call.clone()), attempt, limit)
+            let may = may && !W::spent(&open.call);
+            open.out.push(Out { attempt, server, at: now, limit, handle: None });
+            (may.then(|| open.call.clone()), attempt, limit, started)
         };
         let (Some(call), Some(target)) = (call, target) else {
             return self.ended(id, attempt, Outcome::NotSent, None, None);
@@ -479,7 +535,10 @@
         {
             out.handle = Some(handle);
         }
-        self.set_timer(now + limit, Due::Limit(id, attempt));
+        // While its body is still coming, no time of the server's has begun.
+        if started {
+            self.set_timer(now + limit, Due::Limit(id, attempt));
+        }
     }
 }
 
@@ -505,6 +564,9 @@
         fn send(&self, _: Target, _: Rc<()>, _: Micros, report: Report<Self>) {
             self.sent.borrow_mut().push(report);
         }
+        fn spent(_: &()) -> bool {
+            false
+        }
         fn abort(&self, _: ()) -> bool {
             self.aborted.set(self.aborted.get() + 1);
             self.ran.get()
@@ -551,7 +613,7 @@
     }
 
     fn asked(time_left: Micros) -> Asked<()> {
-        Asked { class: 0, time_left, tenant: None, work: None, retry: false, call: () }
+        Asked { class: 0, time_left, tenant: None, work: None, retry: false, upload: false, call: () }
     }
 
     /// On a paused clock, with the timers running.
--- a/sloeline/src/gate.rs
+++ b/sloeline/src/gate.rs
@@ -21,10 +21,16 @@
 pub const IDLE_TIME: Duration = Duration::from_secs(2);
 /// One that has not been idle for so long is not closed for others.
 const SPARED: Duration = Duration::from_millis(100);
-/// A head may take this long from its first byte.
-const HEAD_TIME: Duration = Duration::from_millis(1500);
-/// A request may take this long from its first byte to its last.
-const BODY_TIME: Duration = Duration::from_millis(2500);
+/// A head may take this long from its first byte: callers may take 2 s for it.
+const HEAD_TIME: Duration = Duration::from_millis(2400);
+/// A request may take this long from its first byte to its last, and longer as its body comes.
+const BODY_TIME: Duration = Duration::from_millis(2800);
+/// Bytes of a body that buy one second more: three quarters of what the slowest honest callers send.
+const RATE: f64 = 48_000.0;
+/// Most time that can be bought ahead: one that has sent much and is stuck is found within it.
+const MOST_CREDIT: Duration = Duration::from_secs(2);
+/// A caller that takes nothing of its answer for so long is stuck, and not slow.
+const STUCK_TIME: Duration = Duration::from_secs(10);
 /// A connection's first request may take this long from the connection on, with the silence before it.
 const FIRST_TIME: Duration = Duration::from_millis(2800);
 /// Most of a head.
@@ -89,7 +95,15 @@
     fault: Cell<Option<Fault>>,
     chunked: Cell<bool>,
     unread: Cell<bool>,
-    stuck: Cell<bool>,
+    /// Since when nothing could be written.
+    stuck: Cell<Option<Instant>>,
+    /// Since when there has been nothing to read of its body, and since when more of it is wanted.
+    empty: Cell<Option<Instant>>,
+    wanted: Cell<Option<Instant>>,
+    /// Time that the body's bytes have bought.
+    credit: Cell<Duration>,
+    /// It has its answer, of which the last bytes are to be written.
+    answered: Cell<bool>,
 }
 
 impl Progress {
@@ -108,6 +122,10 @@
             chunked: Cell::default(),
             unread: Cell::default(),
             stuck: Cell::default(),
+            empty: Cell::default(),
+            wanted: Cell::default(),
+            credit: Cell::default(),
+            answered: Cell::default(),
         })
     }
 
@@ -124,8 +142,14 @@
 
     fn enter(&self, stage: Stage) {
         let now = Instant::now();
-        if stage == Stage::Head {
-            self.first_byte.set(now);
+        match stage {
+            Stage::Head => self.first_byte.set(now),
+            Stage::Body => {
+                self.empty.set(None);
+                self.wanted.set(Some(now));
+                self.credit.set(Duration::ZERO);
+            }
+            Stage::Idle | Stage::Open => {}
         }
         self.stage.set(stage);
         self.since.set(now);
@@ -151,10 +175,60 @@
         self.enter(Stage::Open);
     }
 
-    /// It has its answer: the next one may pass.
+    /// It has its answer: once that is written, the next request may pass.
     pub fn answered(&self) {
-        self.first_until.set(None);
-        self.enter(Stage::Idle);
+        self.answered.set(true);
+    }
+
+    /// Its answer is its last, and what it may still send is nothing.
+    pub fn parting(&self) {
+        self.enter(Stage::Open);
+    }
+
+    /// All that was to be written is.
+    fn flushed(&self) {
+        self.stuck.set(None);
+        if self.answered.replace(false) {
+            self.first_until.set(None);
+            self.enter(Stage::Idle);
+        }
+    }
+
+    /// Whether more of the body is wanted now: what the upstream does not take yet is not.
+    pub fn want(&self, wanted: bool) {
+        match (wanted, self.wanted.get()) {
+            (true, Some(_)) => {}
+            (true, None) => self.wanted.set(Some(Instant::now())),
+            (false, _) => {
+                self.spend();
+                self.wanted.set(None);
+            }
+        }
+    }
+
+    /// Since when the caller has been waited for in its body.
+    fn waiting(&self) -> Option<Instant> {
+        Some(self.empty.get()?.max(self.wanted.get()?))
+    }
+
+    /// Takes the time that the caller has been waited for from what its body has bought.
+    fn spend(&self) {
+        let waited = self.waiting().map_or(Duration::ZERO, |since| since.elapsed());
+        self.credit.set(self.credit.get().saturating_sub(waited));
+    }
+
+    /// So many bytes of the body have come; nothing if there are none to read.
+    fn body(&self, bytes: Option<usize>) {
+        match bytes {
+            None if self.empty.get().is_none() => self.empty.set(Some(Instant::now())),
+            None => {}
+            Some(bytes) => {
+                self.spend();
+                self.empty.set(None);
+                let bought = Duration::from_secs_f64(bytes as f64 / RATE);
+                self.credit.set((self.credit.get() + bought).min(MOST_CREDIT));
+            }
+        }
     }
 
     /// Where the request ends is known to hyper alone: nothing may follow it.
@@ -165,13 +239,18 @@
     /// When it has been at this for too long; a request that is open has a clock of its own. Guards against a
     /// peer that is silent first and slow then, each for less than it may: it is owed an end within 3 s in all.
     pub fn due(&self, idle_time: Duration) -> Option<Instant> {
-        let due = match self.stage.get() {
-            Stage::Idle => self.since.get() + idle_time,
-            Stage::Head => self.first_byte.get() + HEAD_TIME,
-            Stage::Body => self.first_byte.get() + BODY_TIME,
-            Stage::Open => return None,
-        };
-        Some(self.first_until.get().map_or(due, |until| due.min(until)))
+        let whole_until = self.first_until.get();
+        let first = |due: Instant| whole_until.map_or(due, |until| due.min(until));
+        match self.stage.get() {
+            Stage::Idle => Some(first(self.since.get() + idle_time)),
+            Stage::Head => Some(first(self.first_byte.get() + HEAD_TIME)),
+            // Only while the caller is waited for: the upstream may be the slow one.
+            Stage::Body => {
+                let due = first(self.first_byte.get() + BODY_TIME);
+                self.waiting().map(|since| due.max(since + self.credit.get()))
+            }
+            Stage::Open => self.stuck.get().map(|since| since + STUCK_TIME),
+        }
     }
 
     /// What was not let through.
@@ -186,7 +265,7 @@
 
     /// An earlier answer is not written to its end: nothing can be said after it.
     pub fn stuck(&self) -> bool {
-        self.stuck.get()
+        self.stuck.get().is_some()
     }
 }
 
@@ -230,7 +309,11 @@
     fn fill(&mut self, cx: &mut Context<'_>, most: usize) -> Poll<io::Result<usize>> {
         let mut chunk = [0; CHUNK];
         let mut read = ReadBuf::new(&mut chunk[..most.min(CHUNK)]);
-        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut read))?;
+        let polled = Pin::new(&mut self.stream).poll_read(cx, &mut read);
+        if self.progress.stage() == Stage::Body {
+            self.progress.body(polled.is_ready().then_some(read.filled().len()));
+        }
+        ready!(polled)?;
         self.held.extend_from_slice(read.filled());
         Poll::Ready(Ok(read.filled().len()))
     }
@@ -324,7 +407,8 @@
 
 impl Gate {
     fn note<T>(&self, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
-        self.progress.stuck.set(written.is_pending());
+        let since = self.progress.stuck.get().or_else(|| Some(Instant::now()));
+        self.progress.stuck.set(since.filter(|_| written.is_pending()));
         written
     }
 }
@@ -349,7 +433,9 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.progress.flushed();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -375,6 +461,7 @@
             advance(silence).await;
             for stage in [Stage::Head, Stage::Body] {
                 progress.enter(stage);
+                progress.body(None);
                 assert!(
                     progress.due(IDLE_TIME).expect("an end") < start + Duration::from_secs(3),
                     "{stage:?}"
@@ -383,9 +470,56 @@
             // Once a request has come, the next ones have their own time.
             progress.taken();
             progress.answered();
+            progress.flushed();
             advance(silence).await;
             progress.enter(Stage::Head);
             assert_eq!(progress.due(IDLE_TIME), Some(Instant::now() + HEAD_TIME));
         });
     }
+
+    #[test]
+    fn a_slow_body_is_told_from_a_stuck_one() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+        LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+            let progress = Progress::new(Rc::default());
+            progress.of(spawn_local(pending::<()>()).abort_handle());
+            let late = || progress.due(IDLE_TIME).is_some_and(|due| due <= Instant::now());
+            progress.enter(Stage::Head);
+            advance(Duration::from_secs(2)).await;
+            progress.enter(Stage::Body);
+            // 64 kB a second, in two parts a second, for as long as it takes.
+            for _ in 0..40 {
+                progress.body(None);
+                advance(Duration::from_millis(500)).await;
+                assert!(!late(), "slow, not stuck");
+                progress.body(Some(32_000));
+            }
+            // What the upstream does not take is not the caller's silence.
+            progress.want(false);
+            progress.body(None);
+            advance(Duration::from_secs(60)).await;
+            assert!(!late());
+            progress.want(true);
+            assert!(!late());
+            advance(MOST_CREDIT).await;
+            assert!(late(), "stuck, not slow");
+        });
+    }
+
+    #[test]
+    fn an_answer_is_written_before_its_connection_is_idle() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+        LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+            let progress = Progress::new(Rc::default());
+            progress.of(spawn_local(pending::<()>()).abort_handle());
+            progress.taken();
+            progress.answered();
+            progress.stuck.set(Some(Instant::now()));
+            advance(2 * IDLE_TIME).await;
+            assert!(progress.due(IDLE_TIME).expect("an end") > Instant::now(), "slow to read is not idle");
+            assert_eq!(progress.crowd.close_oldest(), Err(None));
+            progress.flushed();
+            assert_eq!(progress.stage(), Stage::Idle);
+        });
+    }
 }
--- a/sloeline/src/main.rs
+++ b/sloeline/src/main.rs
@@ -12,6 +12,7 @@
 mod registry;
 mod room;
 mod server;
+mod stream;
 mod upstream;
 mod wire;
 
@@ -85,6 +86,10 @@
         self.upstreams.send(to, call, limit, report)
     }
 
+    fn spent(call: &Call) -> bool {
+        call.spent()
+    }
+
     fn abort(&self, out: Attempt) -> bool {
         out.abort()
     }
--- a/sloeline/src/pool.rs
+++ b/sloeline/src/pool.rs
@@ -10,10 +10,8 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
 use finchshift as fs;
 use finchshift::{Micros, Outcome, ServerId};
-use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
@@ -23,7 +21,7 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep_until, timeout};
 
-use crate::upstream::MOST_BODY;
+use crate::stream::Outgoing;
 use crate::wire::Target;
 
 /// Part of the upstreams' idle time after which a connection is closed here: far from crossing theirs.
@@ -32,6 +30,9 @@
 const KEEP_UNTOLD: Duration = Duration::from_secs(3);
 /// A connection attempt's limit where the settings name none, and a probe's in all.
 pub const CONNECT_UNTOLD: Duration = Duration::from_secs(1);
+/// What a connection may hold of what it reads or writes.
+pub const BUFFER: usize = 16 * 1024;
+
 /// A place among the connections; given back when the connection is closed.
 struct Place(Rc<Cell<usize>>);
 
@@ -101,7 +102,7 @@
 /// A connection; dropped, it is closed.
 pub struct Conn {
     /// Takes the next request.
-    pub sender: SendRequest<Full<Bytes>>,
+    pub sender: SendRequest<Outgoing>,
     /// What moves its bytes; ended, the connection is closed.
     pub driver: AbortHandle,
     stream: Weak<RefCell<TokioIo<TcpStream>>>,
@@ -232,7 +233,7 @@
         let stream = Rc::downgrade(&stream);
         let (sender, connection) = http1::Builder::new()
             // A head that does not end is given up there.
-            .max_buf_size(MOST_BODY)
+            .max_buf_size(BUFFER)
             .handshake(socket)
             .await
             .map_err(|_| Outcome::ConnectFailed)?;
--- a/sloeline/src/server.rs
+++ b/sloeline/src/server.rs
@@ -13,7 +13,6 @@
 use bytes::Bytes;
 use finchshift as fs;
 use finchshift::{Effect, Micros};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
@@ -28,8 +27,10 @@
 use crate::engine::Engine;
 use crate::gate::{Crowd, Fault, Gate, IDLE_TIME, Progress, Stage};
 use crate::orders::Book;
+use crate::pool::BUFFER;
 use crate::room::{Gauge, Taken};
-use crate::upstream::{Call, MOST_BODY, Reply};
+use crate::stream::{Answering, Begun, End, MOST_HELD, Upload, begin};
+use crate::upstream::{Answered, Call, Payload, Reply};
 use crate::wire::{Answer, Asked, Failure, Wire};
 
 /// From the order to stop to the kill there is the longest deadline, or this where that is longer ...
@@ -53,6 +54,8 @@
 /// How much of it at the most.
 const MOST_LINGER: usize = 1 << 20;
 
+const TOO_LARGE: &str = "over 32 MiB";
+
 const REQ_ID: HeaderName = HeaderName::from_static("req-id");
 const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
@@ -286,7 +289,7 @@
             }
         });
         let mut builder = http1::Builder::new();
-        builder.max_buf_size(MOST_BODY);
+        builder.max_buf_size(BUFFER);
         let mut connection = builder.serve_connection(Gate::new(stream, progress.clone()), service);
         let mut phase = self.life.phases.subscribe();
         let mut late = Box::pin(sleep(Duration::ZERO));
@@ -332,7 +335,7 @@
         }
     }
 
-    async fn respond(&self, request: Request<Incoming>, progress: &Progress) -> Response<Full<Bytes>> {
+    async fn respond(&self, request: Request<Incoming>, progress: &Rc<Progress>) -> Response<Answering> {
         let mut response = match request.uri().path() {
             "/health/ready" => self.ready(),
             "/api" => self.api(request, progress).await,
@@ -340,7 +343,9 @@
         };
         // What comes after a request that was not read, or whose end only hyper knows, is no request.
         let last = progress.unread() || progress.chunked();
-        if !last {
+        if last {
+            progress.parting();
+        } else if !response.body().lasts() {
             progress.answered();
         }
         if last || self.places.used_part() > CROWDED || self.life.phases.borrow().parts() {
@@ -349,7 +354,7 @@
         response
     }
 
-    fn ready(&self) -> Response<Full<Bytes>> {
+    fn ready(&self) -> Response<Answering> {
         // A successor answers for both: the address goes on taking clients.
         let taking = match self.life.follow() {
             Phase::Running => true,
@@ -363,24 +368,53 @@
         }
     }
 
-    async fn api(&self, request: Request<Incoming>, progress: &Progress) -> Response<Full<Bytes>> {
-        // The longest that it can get, and its answer beside. Guards the memory: past the bound nothing is read.
-        let body = request.body().size_hint().exact().unwrap_or(u64::MAX).min(MOST_BODY as u64);
-        let Some(_bytes) = self.bodies.take(body as usize + MOST_BODY) else {
+    async fn api(&self, request: Request<Incoming>, progress: &Rc<Progress>) -> Response<Answering> {
+        // What is held of it at the most, and of its answer. Guards the memory: past the bound nothing is read.
+        let body = request.body().size_hint().exact().unwrap_or(u64::MAX).min(MOST_HELD as u64);
+        let Some(room) = self.bodies.take(body as usize + MOST_HELD) else {
             return plain(StatusCode::SERVICE_UNAVAILABLE, "no room");
         };
-        let asked = match self.read(request).await {
+        let asked = match self.read(request, progress).await {
             Ok(asked) => asked,
             Err((status, why)) => return plain(status, why),
         };
-        progress.taken();
         // Guards against a second request under an id that is open: upstreams could not tell them apart.
         let Some(_id) = asked.call.headers.get(REQ_ID).and_then(|id| Id::take(&self.ids, id)) else {
             return plain(StatusCode::BAD_REQUEST, "this Req-Id is open");
         };
-        match self.engine.ask(asked).answer().await {
+        let upload = match &asked.call.body {
+            Payload::Whole(_) => None,
+            Payload::Passed(upload) => Some(upload.clone()),
+        };
+        let asking = self.engine.ask(asked);
+        let answer = match upload {
+            None => {
+                progress.taken();
+                asking.answer().await
+            }
+            Some(upload) => {
+                let end = async {
+                    let end = upload.end().await;
+                    if end == End::Whole {
+                        progress.taken();
+                    }
+                    end
+                };
+                match asking.answer_upload(end).await {
+                    Ok(answer) => answer,
+                    Err(End::TooLong) => return plain(StatusCode::PAYLOAD_TOO_LARGE, TOO_LARGE),
+                    Err(_) => return plain(StatusCode::BAD_REQUEST, "broken body"),
+                }
+            }
+        };
+        match answer {
             Answer::Served(reply) => {
-                let mut response = Response::new(Full::new(reply.body));
+                let mut body = match reply.body {
+                    Answered::Whole(body) => Answering::whole(body),
+                    Answered::Passed(passed) => Answering::passed(passed, progress),
+                };
+                body.room = Some(room);
+                let mut response = Response::new(body);
                 *response.headers_mut() = end_to_end(&reply.headers);
                 response
             }
@@ -397,8 +431,12 @@
         }
     }
 
-    /// Reads a request whole; its clock starts when this is done.
-    async fn read(&self, request: Request<Incoming>) -> Result<Asked<Call>, (StatusCode, &'static str)> {
+    /// Reads a request, whole if it can be held; its clock starts with its last byte.
+    async fn read(
+        &self,
+        request: Request<Incoming>,
+        progress: &Rc<Progress>,
+    ) -> Result<Asked<Call>, (StatusCode, &'static str)> {
         let bad = |why| (StatusCode::BAD_REQUEST, why);
         let (head, body) = request.into_parts();
         // Guards against peers that read the first of two and others that read the last.
@@ -446,22 +484,21 @@
         let (work, retry): (Option<Micros>, _) =
             (text("req-cost").and_then(number), text("req-retry") == Some("1"));
         let headers = end_to_end(&head.headers);
-        let too_large = (StatusCode::PAYLOAD_TOO_LARGE, "over 64 KiB");
-        if body.size_hint().lower() > MOST_BODY as u64 {
-            return Err(too_large);
-        }
-        let body = match Limited::new(body, MOST_BODY).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(e) if e.is::<LengthLimitError>() => return Err(too_large),
-            Err(_) => return Err(bad("broken body")),
+        let body = match begin(body, None).await {
+            Begun::Whole(body) if safe && !body.is_empty() => {
+                return Err(bad("a body that does not fit the class"));
+            }
+            Begun::More(..) if safe => return Err(bad("a body that does not fit the class")),
+            Begun::Whole(body) => Payload::Whole(body),
+            Begun::More(kept, rest) => Payload::Passed(Upload::new(kept, rest, progress)),
+            Begun::TooLong => return Err((StatusCode::PAYLOAD_TOO_LARGE, TOO_LARGE)),
+            Begun::Broken => return Err(bad("broken body")),
         };
-        if safe && !body.is_empty() {
-            return Err(bad("a body that does not fit the class"));
-        }
         // A request that names the whole address is for this path all the same.
         let path = head.uri.path_and_query().cloned().ok_or(bad("no path"))?;
+        let upload = matches!(body, Payload::Passed(_));
         let call = Call { method: head.method, uri: path.into(), headers, body };
-        Ok(Asked { class, time_left, tenant, work, retry, call })
+        Ok(Asked { class, time_left, tenant, work, retry, upload, call })
     }
 }
 
@@ -517,8 +554,8 @@
     headers.iter().filter(|(name, _)| !hop(name)).map(|(n, v)| (n.clone(), v.clone())).collect()
 }
 
-fn plain(status: StatusCode, why: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(why.as_bytes())));
+fn plain(status: StatusCode, why: &'static str) -> Response<Answering> {
+    let mut response = Response::new(Answering::whole(Bytes::from_static(why.as_bytes())));
     *response.status_mut() = status;
     response
 }
--- a/sloeline/src/upstream.rs
+++ b/sloeline/src/upstream.rs
@@ -16,10 +16,9 @@
 
 use crate::engine::Report;
 use crate::pool::{CONNECT_UNTOLD, Conn, Pool};
+use crate::stream::{Begun, End, MOST_HELD, Outgoing, Passed, Upload, begin_answer};
 use crate::wire::{Target, Wire};
 
-/// Most of a body, either way.
-pub const MOST_BODY: usize = 64 * 1024;
 /// How long a connection may take to be ready for the next request after its answer.
 const TURN_ROUND: Duration = Duration::from_millis(500);
 
@@ -33,13 +32,30 @@
     pub uri: Uri,
     /// End-to-end headers.
     pub headers: HeaderMap,
-    /// The whole body.
-    pub body: Bytes,
+    /// The body.
+    pub body: Payload,
+}
+
+/// A request's body.
+pub enum Payload {
+    /// All of it.
+    Whole(Bytes),
+    /// It is still coming.
+    Passed(Rc<Upload>),
 }
 
 impl Call {
-    fn request(&self, address: SocketAddr, limit: Option<Micros>) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    /// A part of it has gone on and was not kept.
+    pub fn spent(&self) -> bool {
+        matches!(&self.body, Payload::Passed(upload) if upload.spent())
+    }
+
+    fn request(&self, address: SocketAddr, limit: Option<Micros>) -> Request<Outgoing> {
+        let (body, length) = match &self.body {
+            Payload::Whole(body) => (Outgoing::Whole(Full::new(body.clone())), Some(body.len() as u64)),
+            Payload::Passed(upload) => (Outgoing::passed(upload), upload.length()),
+        };
+        let mut request = Request::new(body);
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         let headers = request.headers_mut();
@@ -52,50 +68,90 @@
         if let Some(limit) = limit {
             headers.insert(DEADLINE, HeaderValue::from(limit.div_ceil(1000)));
         }
-        if self.method == Method::POST {
-            headers.insert(CONTENT_LENGTH, HeaderValue::from(self.body.len()));
+        if let (&Method::POST, Some(length)) = (&self.method, length) {
+            headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
         }
         request
     }
 }
 
-/// An upstream's answer, read to its end.
+/// An upstream's answer.
 #[derive(Debug)]
 pub struct Reply {
     /// Its headers.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: Answered,
+}
+
+/// The body of an upstream's answer.
+#[derive(Debug)]
+pub enum Answered {
+    /// Read to its end.
+    Whole(Bytes),
+    /// It is still coming.
+    Passed(Passed),
+}
+
+/// A connection on which an answer is still coming.
+pub struct Lease {
+    pool: Rc<Pool>,
+    server: ServerId,
+    conn: Conn,
+}
+
+impl Lease {
+    /// The answer was read to its end: the connection takes the next request.
+    pub fn give_back(self) {
+        spawn_local(async move { put_when_ready(&self.pool, self.server, self.conn).await });
+    }
 }
 
 /// How far an attempt's request is written; the engine's end of an attempt looks at it.
-#[derive(Default)]
 struct Flight {
-    begun: RefCell<Option<Begun>>,
-    /// Bytes of the request at the least.
-    least: u64,
+    begun: RefCell<Option<Writing>>,
+    call: Rc<Call>,
 }
 
-struct Begun {
+struct Writing {
     driver: AbortHandle,
     written: Rc<Cell<u64>>,
     before: u64,
 }
 
 impl Flight {
-    fn new(call: &Call) -> Rc<Flight> {
-        Rc::new(Flight { begun: RefCell::new(None), least: call.body.len() as u64 + 1 })
+    fn new(call: &Rc<Call>) -> Rc<Flight> {
+        Rc::new(Flight { begun: RefCell::new(None), call: call.clone() })
     }
 
     fn begin(&self, conn: &Conn) {
         let (driver, written) = (conn.driver.clone(), conn.written.clone());
         let before = written.get();
-        *self.begun.borrow_mut() = Some(Begun { driver, written, before });
+        *self.begun.borrow_mut() = Some(Writing { driver, written, before });
+    }
+
+    /// Bytes of the request at the least; nothing while its last one has not come.
+    fn least(&self) -> Option<u64> {
+        match &self.call.body {
+            Payload::Whole(body) => Some(body.len() as u64 + 1),
+            Payload::Passed(upload) if upload.ended() == Some(End::Whole) => Some(upload.bytes() + 1),
+            Payload::Passed(_) => None,
+        }
     }
 
     /// False only if the request's last byte is surely not written.
     fn may_have_run(&self) -> bool {
-        self.begun.borrow().as_ref().is_some_and(|b| b.written.get() - b.before >= self.least)
+        let Some(least) = self.least() else { return false };
+        self.begun.borrow().as_ref().is_some_and(|b| b.written.get() - b.before >= least)
+    }
+
+    /// The caller's body will never be whole, which is nothing of the upstream's.
+    fn cut_off(&self) -> bool {
+        let ended = match &self.call.body {
+            Payload::Whole(_) => None,
+            Payload::Passed(upload) => upload.ended(),
+        };
+        ended.is_some_and(|end| end != End::Whole)
     }
 }
 
@@ -163,7 +219,7 @@
         let (pool, flight) = (self.pool.clone(), Flight::new(&call));
         let shared = flight.clone();
         let task = spawn_local(async move {
-            let ended = exchange(&pool, to, &call, Some(limit), &shared).await;
+            let ended = exchange(&pool, to, Some(limit), &shared).await;
             let mut conn = ended.conn;
             // Put back before the outcome is told: what the module sends on it finds the connection.
             let waiting = match conn.as_mut().map(|c| c.sender.is_ready()) {
@@ -185,10 +241,11 @@
     pub fn probe(&self, to: Target, told: impl FnOnce(Duration, Outcome, Option<Load>) + 'static) {
         let pool = self.pool.clone();
         let uri = Uri::from_static("/health/live");
-        let call = Call { method: Method::GET, uri, headers: HeaderMap::new(), body: Bytes::new() };
+        let (headers, body) = (HeaderMap::new(), Payload::Whole(Bytes::new()));
+        let call = Rc::new(Call { method: Method::GET, uri, headers, body });
         spawn_local(async move {
             let (flight, start) = (Flight::new(&call), Instant::now());
-            let ended = timeout(CONNECT_UNTOLD, exchange(&pool, to, &call, None, &flight)).await;
+            let ended = timeout(CONNECT_UNTOLD, exchange(&pool, to, None, &flight)).await;
             let ended = ended.unwrap_or_else(|_| Outcome::TimedOut.into());
             told(start.elapsed(), ended.outcome, ended.load);
             if let Some(conn) = ended.conn {
@@ -211,7 +268,7 @@
 
 /// One request on one connection. A pooled connection that turns out dead before anything was written to it
 /// is passed over for the next; nothing is ever written twice.
-async fn exchange(pool: &Pool, to: Target, call: &Call, limit: Option<Micros>, flight: &Flight) -> Exchanged {
+async fn exchange(pool: &Rc<Pool>, to: Target, limit: Option<Micros>, flight: &Flight) -> Exchanged {
     let start = Instant::now();
     loop {
         let (mut conn, reused) = match pool.take(to) {
@@ -223,13 +280,19 @@
         };
         flight.begin(&conn);
         let left = limit.map(|l| l.saturating_sub(start.elapsed().as_micros() as Micros));
-        match conn.sender.try_send_request(call.request(to.address, left)).await {
-            Ok(response) => return read(response, conn).await,
+        match conn.sender.try_send_request(flight.call.request(to.address, left)).await {
+            Ok(response) => {
+                return read(response, Lease { pool: pool.clone(), server: to.server, conn }).await;
+            }
             Err(mut e) => {
                 let untouched = e.take_message().is_some();
-                if untouched && reused {
+                // Taken back by what was never written: a body that is still coming may have lost its next part.
+                if untouched && reused && !flight.call.spent() {
                     continue;
                 }
+                if flight.cut_off() {
+                    return Outcome::NotSent.into();
+                }
                 let ran = !untouched && flight.may_have_run();
                 return if ran { Outcome::Reset } else { Outcome::ConnectFailed }.into();
             }
@@ -237,23 +300,33 @@
     }
 }
 
-/// Reads an answer to its end and tells what it means; the connection is kept only if it was read whole.
-async fn read(response: Response<Incoming>, conn: Conn) -> Exchanged {
+/// Reads an answer, to its end or as far as it is held, and tells what it means; the connection is kept only if
+/// it is read whole.
+async fn read(response: Response<Incoming>, lease: Lease) -> Exchanged {
     let (head, body) = response.into_parts();
     let declined = head.headers.get("srv-declined").is_some_and(|v| v == "1");
     let load = head.headers.get("srv-load").and_then(|v| v.to_str().ok()).map(load);
-    let body = Limited::new(body, MOST_BODY).collect().await.ok().map(|b| b.to_bytes());
-    let whole = body.is_some();
-    let (outcome, reply) = match (head.status, body) {
-        (StatusCode::OK, Some(body)) => (Outcome::Ok, Some(Reply { headers: head.headers, body })),
-        // Guards against an answer that is not what it seems: spoilt, it proves nothing, its mark neither.
-        (_, None) => (Outcome::Reset, None),
-        (StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT, _) if declined => {
-            (Outcome::Full, None)
+    let (outcome, reply, conn) = if head.status == StatusCode::OK {
+        let reply = |body| Some(Reply { headers: head.headers, body });
+        match begin_answer(body).await {
+            Begun::Whole(body) => (Outcome::Ok, reply(Answered::Whole(body)), Some(lease.conn)),
+            // The server has done its work: how fast the caller reads is nothing of its.
+            Begun::More(first, rest) => {
+                (Outcome::Ok, reply(Answered::Passed(Passed::new(first, rest, lease))), None)
+            }
+            Begun::Broken | Begun::TooLong => (Outcome::Reset, None, None),
         }
-        _ => (Outcome::Error, None),
+    } else {
+        let whole = Limited::new(body, MOST_HELD).collect().await.is_ok();
+        let outcome = match head.status {
+            // Guards against an answer that is not what it seems: spoilt, it proves nothing, its mark neither.
+            _ if !whole => Outcome::Reset,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if declined => Outcome::Full,
+            _ => Outcome::Error,
+        };
+        (outcome, None, whole.then_some(lease.conn))
     };
-    Exchanged { outcome, load, reply, conn: whole.then_some(conn) }
+    Exchanged { outcome, load, reply, conn }
 }
 
 /// A load report, `name=value,name=value`; what is unknown or unreadable is passed over.
@@ -303,21 +376,24 @@
         });
     }
 
-    fn call() -> Call {
-        let (uri, body) = (Uri::from_static("/api"), Bytes::new());
-        Call { method: Method::GET, uri, headers: HeaderMap::new(), body }
+    fn call(method: Method, body: Bytes) -> Rc<Call> {
+        let (uri, body) = (Uri::from_static("/api"), Payload::Whole(body));
+        Rc::new(Call { method, uri, headers: HeaderMap::new(), body })
+    }
+
+    fn look() -> Rc<Flight> {
+        Flight::new(&call(Method::GET, Bytes::new()))
     }
 
     /// One exchange, on a new connection if `accept`; the peer's end of it and how it ended.
     async fn once(upstreams: &Upstreams, listener: &TcpListener, to: Target) -> (TcpStream, Outcome) {
-        let (call, pool) = (call(), &upstreams.pool);
-        let flight = Flight::new(&call);
+        let (flight, pool) = (look(), &upstreams.pool);
         let peer = async {
             let (mut stream, _) = listener.accept().await.expect("a connection");
             serve(&mut stream).await;
             stream
         };
-        let (stream, ended) = tokio::join!(peer, exchange(pool, to, &call, None, &flight));
+        let (stream, ended) = tokio::join!(peer, exchange(pool, to, None, &flight));
         if let Some(conn) = ended.conn {
             put_when_ready(pool, to.server, conn).await;
         }
@@ -363,9 +439,8 @@
     fn a_connection_that_never_comes_up_has_not_run() {
         with(9, async |upstreams, listener, to| {
             drop(listener);
-            let call = call();
-            let flight = Flight::new(&call);
-            let ended = exchange(&upstreams.pool, to, &call, None, &flight).await;
+            let flight = look();
+            let ended = exchange(&upstreams.pool, to, None, &flight).await;
             assert_eq!(ended.outcome, Outcome::ConnectFailed);
             assert!(!flight.may_have_run());
         });
@@ -375,13 +450,12 @@
     fn a_request_that_is_not_written_to_its_end_has_not_run() {
         with(9, async |upstreams, listener, to| {
             // More than the sockets' buffers take of a peer that does not read.
-            let call = Call { method: Method::POST, body: vec![0; 32 << 20].into(), ..call() };
-            let flight = Flight::new(&call);
+            let flight = Flight::new(&call(Method::POST, vec![0; 32 << 20].into()));
             let peer = async {
                 let (mut stream, _) = listener.accept().await.expect("a connection");
                 stream.read_u8().await.expect("a beginning");
             };
-            let ((), ended) = tokio::join!(peer, exchange(&upstreams.pool, to, &call, None, &flight));
+            let ((), ended) = tokio::join!(peer, exchange(&upstreams.pool, to, None, &flight));
             assert_eq!(ended.outcome, Outcome::ConnectFailed);
         });
     }
--- a/sloeline/src/wire.rs
+++ b/sloeline/src/wire.rs
@@ -20,6 +20,8 @@
     type Out;
     /// Starts an attempt; its end is told to the report.
     fn send(&self, to: Target, call: Rc<Self::Call>, limit: Micros, report: Report<Self>) -> Self::Out;
+    /// A part of what is asked has gone on and was not kept: it cannot be sent again.
+    fn spent(call: &Self::Call) -> bool;
     /// Ends an attempt by closing its connection; tells whether it may have run.
     fn abort(&self, out: Self::Out) -> bool;
     /// Asks an upstream how it is.
@@ -97,6 +99,8 @@
     pub work: Option<Micros>,
     /// Its client marks it as a repeat.
     pub retry: bool,
+    /// Its body is still coming: its time starts when [`Asking::answer`](crate::engine::Asking) is told so.
+    pub upload: bool,
     /// What goes on to upstreams.
     pub call: C,
 }
--- /dev/null
+++ b/sloeline/tests/bodies.rs
@@ -0,0 +1,298 @@
+//! Bodies that are too long to be held, both ways.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::time::Duration;
+
+use common::*;
+
+const LARGE: usize = 3_000_000;
+
+fn bytes(n: usize) -> Vec<u8> {
+    (0..n).map(|i| (i % 251) as u8).collect()
+}
+
+/// A head for an upload; `framing` and `headers` end each line.
+fn head(class: &str, id: &str, framing: &str) -> String {
+    let key = if class == "pull" { format!("Idempotency-Key: k-{id}\r\n") } else { String::new() };
+    format!(
+        "POST /api?key=7f3a HTTP/1.1\r\nHost: b\r\nReq-Id: {id}\r\nReq-Kind: {class}\r\n{key}{framing}\r\n"
+    )
+}
+
+fn chunk(data: &[u8]) -> Vec<u8> {
+    [format!("{:x};ext=1\r\n", data.len()).as_bytes(), data, b"\r\n"].concat()
+}
+
+/// A head, byte by byte, so that nothing of the body is taken with it.
+fn read_head(stream: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        assert_eq!(stream.read(&mut byte).expect("a head"), 1, "{}", String::from_utf8_lossy(&head));
+        head.push(byte[0]);
+    }
+    String::from_utf8(head).expect("text").to_lowercase()
+}
+
+/// A body in chunks; nothing if it breaks off.
+fn read_chunks(stream: &mut TcpStream) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let mut line = Vec::new();
+        while !line.ends_with(b"\r\n") {
+            let mut byte = [0];
+            if stream.read(&mut byte).ok()? == 0 {
+                return None;
+            }
+            line.push(byte[0]);
+        }
+        let length = usize::from_str_radix(std::str::from_utf8(&line).ok()?.trim(), 16).ok()?;
+        let mut data = vec![0; length + 2];
+        stream.read_exact(&mut data).ok()?;
+        body.extend_from_slice(&data[..length]);
+        if length == 0 {
+            return Some(body);
+        }
+    }
+}
+
+#[test]
+fn a_long_request_goes_on_while_it_comes() {
+    let (upstream, body) = (Peer::new(), bytes(LARGE));
+    let balancer = Setup::knowing(&[upstream.address]).start();
+    let mut client = balancer.connect();
+    client
+        .write_all(head("pay", "r-1", &format!("Content-Length: {LARGE}\r\n")).as_bytes())
+        .expect("it reads");
+    client.write_all(&body[..LARGE / 2]).expect("it reads");
+    let mut stream = upstream.accept();
+    assert!(read_head(&mut stream).contains(&format!("content-length: {LARGE}\r\n")));
+    let mut got = vec![0; LARGE / 2];
+    stream.read_exact(&mut got).expect("what has come so far");
+    client.write_all(&body[LARGE / 2..]).expect("it reads");
+    got.resize(LARGE, 0);
+    stream.read_exact(&mut got[LARGE / 2..]).expect("the rest");
+    assert!(got == body, "the body differs");
+    ok(&mut stream);
+    assert_eq!(read(&mut client).expect("an answer").status(), 200);
+    // Both connections take the next request.
+    client.write_all(request("pay", "r-2", "").as_bytes()).expect("it reads");
+    read(&mut stream).expect("an attempt");
+    ok(&mut stream);
+    assert_eq!(read(&mut client).expect("an answer").status(), 200);
+}
+
+#[test]
+fn a_long_request_in_chunks_goes_on_in_chunks() {
+    let (upstream, body) = (Peer::new(), bytes(LARGE));
+    let balancer = Setup::knowing(&[upstream.address]).start();
+    let mut client = balancer.connect();
+    let framing = "Transfer-Encoding: chunked\r\nExpect: 100-continue\r\nTrailer: X-End\r\n";
+    client.write_all(head("pull", "r-1", framing).as_bytes()).expect("it reads");
+    assert!(read_head(&mut client).starts_with("http/1.1 100 "), "nothing tells it to go on");
+    let mut writer = client.try_clone().expect("a descriptor");
+    let sent = body.clone();
+    let writing = std::thread::spawn(move || {
+        sent.chunks(9_999).for_each(|data| writer.write_all(&chunk(data)).expect("it reads"));
+        writer.write_all(b"0\r\nX-End: 1\r\n\r\n").expect("it reads");
+    });
+    let mut stream = upstream.accept();
+    assert!(read_head(&mut stream).contains("transfer-encoding: chunked\r\n"));
+    assert!(read_chunks(&mut stream).expect("a whole body") == body, "the body differs");
+    writing.join().expect("it was read");
+    ok(&mut stream);
+    assert_eq!(read(&mut client).expect("an answer").status(), 200);
+}
+
+#[test]
+fn a_slow_request_is_no_late_one() {
+    let upstream = Peer::new();
+    let balancer = Setup::knowing(&[upstream.address]).start();
+    let mut client = balancer.connect();
+    let framing = "Content-Length: 300000\r\nReq-Deadline-Ms: 1000\r\n";
+    client.write_all(head("pay", "r-1", framing).as_bytes()).expect("it reads");
+    let requests = upstream.serve(|_, stream| ok(stream));
+    for _ in 0..30 {
+        client.write_all(&[7; 10_000]).expect("it reads");
+        std::thread::sleep(Duration::from_millis(60));
+    }
+    assert_eq!(read(&mut client).expect("an answer").status(), 200);
+    assert_eq!(requests.recv_timeout(LONG).expect("a request").body.len(), 300_000);
+}
+
+#[test]
+fn a_request_that_ends_early_reaches_nobody_whole_and_is_not_sent_again() {
+    for framing in ["Content-Length: 3000000\r\n", "Transfer-Encoding: chunked\r\n"] {
+        let upstream = Peer::new();
+        let balancer = Setup::knowing(&[upstream.address]).start();
+        let mut client = balancer.connect();
+        client.write_all(head("pull", "r-1", framing).as_bytes()).expect("it reads");
+        let data = bytes(200_000);
+        let sent = if framing.starts_with('C') { data } else { chunk(&data) };
+        client.write_all(&sent).expect("it reads");
+        let mut stream = upstream.accept();
+        read_head(&mut stream);
+        client.shutdown(Shutdown::Both).expect("it closes");
+        let mut got = Vec::new();
+        let _ = stream.read_to_end(&mut got);
+        assert!(
+            !got.ends_with(b"0\r\n\r\n") && got.len() < 3_000_000,
+            "{framing}: it ends as if it were whole"
+        );
+        assert_eq!(balancer.ask(READY).status(), 200);
+        assert!(upstream.quiet(), "{framing}: it was sent again");
+    }
+}
+
+#[test]
+fn a_request_that_is_spent_is_not_sent_again() {
+    let upstream = Peer::new();
+    let balancer = Setup::knowing(&[upstream.address]).start();
+    let mut client = balancer.connect();
+    client.write_all(head("pull", "r-1", "Content-Length: 3000000\r\n").as_bytes()).expect("it reads");
+    client.write_all(&bytes(400_000)).expect("it reads");
+    let mut stream = upstream.accept();
+    read_head(&mut stream);
+    stream.read_exact(&mut [0; 300_000]).expect("more than is kept");
+    drop(stream);
+    // It never ran: its caller may try again.
+    let refused = read(&mut client).expect("an answer");
+    assert_eq!((refused.status(), refused.header("connection")), (503, Some("close")));
+    assert!(upstream.quiet(), "it was sent again");
+}
+
+#[test]
+fn an_early_answer_ends_a_long_request() {
+    let upstream = Peer::new();
+    let balancer = Setup::knowing(&[upstream.address]).start();
+    let mut client = balancer.connect();
+    client.write_all(head("pay", "r-1", "Content-Length: 3000000\r\n").as_bytes()).expect("it reads");
+    client.write_all(&bytes(200_000)).expect("it reads");
+    let mut stream = upstream.accept();
+    read_head(&mut stream);
+    answer(&mut stream, "503 Busy", "Srv-Declined: 1\r\n", b"");
+    assert_eq!(read(&mut client).expect("an answer").status(), 503);
+}
+
+#[test]
+fn a_request_over_the_limit_is_refused_on_the_way() {
+    let upstream = Peer::new();
+    let balancer = Setup::knowing(&[upstream.address]).start();
+    std::thread::spawn(move || {
+        let mut stream = upstream.accept();
+        while stream.read(&mut [0; 65_536]).is_ok_and(|n| n > 0) {}
+    });
+    let mut client = balancer.connect();
+    client.write_all(head("pay", "r-1", "Transfer-Encoding: chunked\r\n").as_bytes()).expect("it reads");
+    let data = chunk(&bytes(1 << 20));
+    while client.write_all(&data).is_ok() {}
+    assert!(read(&mut client).is_none_or(|answer| answer.status() == 413));
+    assert_eq!(balancer.ask(READY).status(), 200);
+}
+
+#[test]
+fn a_long_answer_goes_on_while_it_comes() {
+    let body = bytes(LARGE);
+    for framing in [&format!("Content-Length: {LARGE}\r\n")[..], "Transfer-Encoding: chunked\r\n", ""] {
+        let upstream = Peer::new();
+        let balancer = Setup::knowing(&[upstream.address]).start();
+        let mut client = balancer.connect();
+        client.write_all(request("pay", "r-1", "Req-Deadline-Ms: 1000\r\n").as_bytes()).expect("it reads");
+        let mut stream = upstream.accept();
+        read(&mut stream).expect("an attempt");
+        stream.write_all(format!("HTTP/1.1 200 OK\r\n{framing}\r\n").as_bytes()).expect("it reads");
+        let form = |data: &[u8]| if framing.starts_with('T') { chunk(data) } else { data.to_vec() };
+        stream.write_all(&form(&body[..1000])).expect("it reads");
+        let head = read_head(&mut client);
+        assert!(head.starts_with("http/1.1 200 ok"), "{framing}: {head}");
+        // Its head has gone on: no limit ends it.
+        std::thread::sleep(Duration::from_millis(1500));
+        let rest = body[1000..].to_vec();
+        let end = if framing.starts_with('T') { "0\r\n\r\n" } else { "" };
+        let framed = !framing.is_empty();
+        let writing = std::thread::spawn({
+            let parts: Vec<_> = rest.chunks(77_777).map(form).collect();
+            move || {
+                parts.iter().for_each(|part| stream.write_all(part).expect("it reads"));
+                stream.write_all(end.as_bytes()).expect("it reads");
+                if !framed {
+                    stream.shutdown(Shutdown::Write).expect("it ends");
+                }
+                stream
+            }
+        });
+        let got = if head.contains("content-length") {
+            let mut got = vec![0; LARGE];
+            client.read_exact(&mut got).expect("a whole body");
+            got
+        } else {
+            read_chunks(&mut client).unwrap_or_else(|| {
+                panic!("{framing}: it breaks off");
+            })
+        };
+        assert!(got == body, "{framing}: the answer differs");
+        let mut stream = writing.join().expect("it was read");
+        if framed {
+            client.write_all(request("pay", "r-2", "").as_bytes()).expect("it reads");
+            read(&mut stream).expect("the connection takes the next request");
+        }
+    }
+}
+
+#[test]
+fn a_long_answer_that_breaks_off_is_seen_not_to_be_whole() {
+    for framing in ["Content-Length: 3000000\r\n", "Transfer-Encoding: chunked\r\n"] {
+        let upstream = Peer::new();
+        let balancer = Setup::knowing(&[upstream.address]).start();
+        let mut client = balancer.connect();
+        client.write_all(request("look", "r-1", "").as_bytes()).expect("it reads");
+        let mut stream = upstream.accept();
+        read(&mut stream).expect("an attempt");
+        stream.write_all(format!("HTTP/1.1 200 OK\r\n{framing}\r\n").as_bytes()).expect("it reads");
+        let data = bytes(200_000);
+        stream.write_all(&if framing.starts_with('T') { chunk(&data) } else { data }).expect("it reads");
+        read_head(&mut client);
+        drop(stream);
+        let mut got = Vec::new();
+        let _ = client.read_to_end(&mut got);
+        assert!(!got.ends_with(b"0\r\n\r\n") && got.len() < 3_000_000, "{framing}: it seems whole");
+        assert!(upstream.quiet(), "{framing}: asked again after its beginning went on");
+    }
+}
+
+#[test]
+fn callers_that_read_slowly_take_no_memory_and_hold_nobody_else() {
+    let upstream = Peer::new();
+    let balancer = Setup::knowing(&[upstream.address]).start();
+    let long = bytes(30_000_000);
+    let _requests = upstream.serve(move |message, stream| {
+        let long = message.header("x-long").is_some();
+        if long { answer(stream, "200 OK", "", &self::bytes(30_000_000)) } else { ok(stream) }
+    });
+    let slow: Vec<_> = (0..6)
+        .map(|id| {
+            let mut client = balancer.connect();
+            client
+                .write_all(request("pay", &format!("r-{id}"), "X-Long: 1\r\n").as_bytes())
+                .expect("it reads");
+            read_head(&mut client);
+            client
+        })
+        .collect();
+    for id in 10..20 {
+        assert_eq!(balancer.ask(&request("pay", &format!("r-{id}"), "")).status(), 200);
+    }
+    let status =
+        std::fs::read_to_string(format!("/proc/{}/status", balancer.child.id())).expect("its status");
+    let held = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).expect("its memory").trim();
+    let held: usize = held.trim_end_matches(" kB").parse().expect("a number");
+    assert!(held < 20_000, "{held} kB for six answers of 30 MB");
+    for mut client in slow {
+        let mut got = vec![0; long.len()];
+        client.read_exact(&mut got).expect("the rest");
+        assert!(got == long, "the answer differs");
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -456,6 +456,14 @@
         work: Option<Micros>,
         /// The client marks it as a repeat.
         retry: bool,
+        /// Its body is still coming and goes on as it comes: its time starts with [`Event::Uploaded`], and a
+        /// server has no work from it before.
+        upload: bool,
+    },
+    /// The last byte of a request whose body was still coming.
+    Uploaded {
+        /// The request.
+        request: RequestId,
     },
     /// A streamed answer has begun: the attempt is the client's now.
     FirstByte {
@@ -478,6 +486,8 @@
         latency: Micros,
         /// The request is finished and nothing more is owed for it.
         closed: bool,
+        /// Its body went on and was not kept: it cannot be sent again.
+        spent: bool,
         /// The server's load, where it reported.
         load: Option<Load>,
     },
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -245,6 +245,20 @@
     out: Option<Attempt>,
     last: Option<ServerId>,
     not_before: Micros,
+    /// Its body is still coming: its clock stands still, and its attempt takes no place.
+    upload: bool,
+}
+
+impl Request {
+    /// The time, as far as this request is concerned.
+    fn clock(&self, now: Micros) -> Micros {
+        if self.upload { self.arrived } else { now }
+    }
+
+    /// Where its attempt is, if one is out.
+    fn to(&self) -> Option<ServerId> {
+        self.last.filter(|_| self.out.is_some())
+    }
 }
 
 struct Attempt {
@@ -262,6 +276,7 @@
     outcome: Outcome,
     latency: Micros,
     closed: bool,
+    spent: bool,
 }
 
 #[derive(Default)]
@@ -371,11 +386,12 @@
         }
         match event {
             Event::Servers { kind, entries } => self.list(now, kind, entries, actions),
-            Event::Request { id, class, time_left, work, .. } => {
-                self.take(now, id, class, time_left, work, actions);
+            Event::Request { id, class, time_left, work, upload, .. } => {
+                self.take(now, id, class, time_left, work, upload, actions);
             }
-            Event::Outcome { request, server, outcome, latency, closed, .. } => {
-                self.outcome(now, request, &Ended { server, outcome, latency, closed }, actions);
+            Event::Uploaded { request } => self.uploaded(now, request),
+            Event::Outcome { request, server, outcome, latency, closed, spent, .. } => {
+                self.outcome(now, request, &Ended { server, outcome, latency, closed, spent }, actions);
             }
             // A stream that has begun is the client's: no limit, no retry; its outcome frees the place.
             Event::FirstByte { request, .. } => {
@@ -397,13 +413,39 @@
     /// Prevents slow servers from passing for quick ones where the clients of the slowest calls leave: a call
     /// that was out then counts as late. Hurts where clients leave for reasons of their own.
     fn gone(&mut self, id: RequestId) {
-        let Some(attempt) = self.requests.remove(&id).and_then(|r| r.out) else { return };
+        let Some(request) = self.requests.remove(&id) else { return };
+        if request.upload {
+            return self.count(request.to());
+        }
+        let Some(attempt) = request.out else { return };
         let Some(pool) = self.pools.get_mut(&attempt.zone) else { return };
         pool.window = (pool.window - WINDOW_GAIN * pool.window.min(1.0)).max(LEAST_WINDOW);
     }
 
+    /// A request's clock starts with its last byte, and so does the server's work. Prevents slow uploads from
+    /// passing for slow servers and from holding places.
+    fn uploaded(&mut self, now: Micros, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id).filter(|r| r.upload) else { return };
+        let late = now - request.arrived;
+        (request.arrived, request.upload) = (now, false);
+        (request.useful, request.deadline) = (request.useful + late, request.deadline + late);
+        if let Some(attempt) = &mut request.out {
+            attempt.at = now;
+        }
+        let to = request.to();
+        self.count(to);
+    }
+
+    /// Gives the attempt of an upload its place.
+    fn count(&mut self, to: Option<ServerId>) {
+        let Some(server) = self.servers.iter_mut().find(|s| Some(s.entry.id) == to) else { return };
+        server.in_flight += 1;
+        self.pools.entry(server.entry.zone).or_default().in_flight += 1;
+    }
+
     // Intake.
 
+    #[allow(clippy::too_many_arguments)]
     fn take(
         &mut self,
         now: Micros,
@@ -411,6 +453,7 @@
         class: ClassId,
         left: Micros,
         work: Option<Micros>,
+        upload: bool,
         actions: &mut Vec<Action>,
     ) {
         let Some(c) = self.settings.classes.get(class) else {
@@ -431,8 +474,9 @@
         state.work += (work - state.work) / state.offered.clamp(1.0, MEAN_OVER);
         let scale = if work > 0.0 { 1.0 + HINT_TRUST * (work / state.work - 1.0) } else { 1.0 };
         let (useful, deadline) = (now + useful, now + left);
+        let (arrived, not_before) = (now, now);
         let request =
-            Request { class, arrived: now, not_before: now, useful, deadline, scale, ..Request::default() };
+            Request { class, arrived, not_before, useful, deadline, scale, upload, ..Request::default() };
         self.requests.insert(id, request);
         self.bound_held(now, actions);
     }
@@ -463,7 +507,8 @@
         let repeatable = matches!(class.effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
         let may_refuse = request.ran.is_none() || repeatable;
         // What is left for the wait: an answer after it is still to be of use.
-        let spare = request.useful as f64 - now as f64 - self.classes[request.class].latency.p50;
+        let spare =
+            request.useful as f64 - request.clock(now) as f64 - self.classes[request.class].latency.p50;
         actions.push(if may_refuse && spare > 0.0 {
             Action::Refuse { request: id, retry_after: self.worked_off(now).min(spare) as Micros }
         } else {
@@ -501,6 +546,7 @@
 
     /// Too little time is left for an attempt to finish.
     fn hopeless(&self, now: Micros, request: &Request) -> bool {
+        let now = request.clock(now);
         let left = request.useful.saturating_sub(now) as f64;
         let aim = self.split(self.settings.classes[request.class].aim) as f64;
         let p50 = self.percentiles(request.class).map_or(0.0, |p| p.p50);
@@ -631,7 +677,7 @@
             let Some(trial) = server.passes(request.class, now) else { continue };
             let given_up = if self.settings.tier == 0 { pool.lingering } else { 0.0 };
             let full = pool.in_flight as f64 + given_up >= pool.window.max(1.0) * room;
-            if full || (now < pool.resume && room == 1.0) {
+            if !request.upload && (full || (now < pool.resume && room == 1.0)) {
                 continue;
             }
             let share = server.share(now, &self.settings.rules);
@@ -662,9 +708,10 @@
         let server = &mut self.servers[at];
         let share = server.share(now, &self.settings.rules);
         let pool = self.pools.entry(server.entry.zone).or_default();
-        pool.in_flight += 1;
+        let places = u32::from(!request.upload);
+        pool.in_flight += places;
         self.sent += 1.0;
-        server.in_flight += 1;
+        server.in_flight += places;
         for breaker in [0, class + 1] {
             let state = &mut server.breakers[breaker].state;
             *state = if *state == State::Closed { State::Closed } else { State::HalfOpen };
@@ -698,7 +745,7 @@
     /// running out of it tells against the server: not where the caller's time set it, less that room or not,
     /// nor at P50, which half of all attempts overrun. Prevents the callers' haste from opening breakers.
     fn limit(&self, now: Micros, request: &Request) -> (Micros, bool) {
-        let left = (request.useful - now) as f64;
+        let left = (request.useful - request.clock(now)) as f64;
         // Prevents long classes from being cut by what short ones took, while they are rare themselves.
         let p = &self.classes[request.class].latency;
         if p.total < MIN_SAMPLES {
@@ -721,10 +768,15 @@
     // Outcome.
 
     fn outcome(&mut self, now: Micros, id: RequestId, ended: &Ended, actions: &mut Vec<Action>) {
+        // What ends before its last byte gives back a place all the same, and is no measure of latency.
+        let uploading = self.requests.get(&id).filter(|r| r.upload).map(Request::to);
+        if let Some(to) = uploading {
+            self.count(to);
+        }
         let request = self.requests.get_mut(&id);
         let (class, attempt) = request.map_or((None, None), |r| (Some((r.class, r.scale)), r.out.take()));
         let own = attempt.as_ref().is_some_and(|a| a.own_limit);
-        let late = class.and_then(|(c, scale)| self.learn(c, scale, ended));
+        let late = class.filter(|_| uploading.is_none()).and_then(|(c, scale)| self.learn(c, scale, ended));
         if let Some(idle) = attempt.as_ref().map(|a| a.idle).filter(|idle| *idle > 0) {
             // Prevents spoilt answers from passing for dead connections. Covers resets by servers and by what
             // lies between; costs connections where a server breaks off at once for reasons of its own.
@@ -749,6 +801,9 @@
         if let Some(a) = attempt.filter(|_| !ended.outcome.never_ran()) {
             request.ran = request.ran.or(Some((a.at, a.zone, a.cell)));
         }
+        if ended.spent {
+            return self.give_up(now, id, actions);
+        }
         self.again(now, id, ended.outcome, actions);
     }
 
--- a/wirehost/src/host.rs
+++ b/wirehost/src/host.rs
@@ -130,7 +130,7 @@
                 instance.numbers.insert(rid.clone().into_owned(), id);
                 instance.open.insert(id, Open { name: rid.into_owned(), out: 0, closed: false });
                 let (time_left, work) = (micros(time_left_ms), expected_ms.map(micros));
-                let event = fs::Event::Request { id, class, time_left, tenant, work, retry };
+                let event = fs::Event::Request { id, class, time_left, tenant, work, retry, upload: false };
                 self.tell(now, balancer_id, event, reply)?;
             }
             Message::Echo { balancer_id, upstream, disposition, time_taken_ms, load: l } => {
@@ -163,6 +163,7 @@
                     outcome: outcome(disposition),
                     latency: micros(time_taken_ms),
                     closed,
+                    spent: false,
                     load: l.map(load),
                 };
                 if let Some(open) = instance.open.get_mut(&request) {
