Hand on what a process has learned to the one that takes its place

A new process had no percentiles, no windows and no rate: for seconds its attempts were bound by time left alone, and it sent what a new fleet would take to one that was busy. The module tells what it has learned and takes it over, with what the old process has out as lingering; the serving process keeps it in $TMPDIR four times a second, names in place of numbers.

Ruled out: requests at the door (none ended there) and late calls.

--- a/sloeline/src/engine.rs
+++ b/sloeline/src/engine.rs
@@ -12,6 +12,7 @@
 use finchshift as fs;
 use finchshift::{Action, Event, ListKind, Micros, Outcome, RequestId, ServerId};
 use finchshift_wirehost::setup::Names;
+use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, oneshot};
 
 use crate::orders::{Book, Orders};
@@ -27,6 +28,17 @@
 /// So many timers are always kept.
 const LEAST_TIMERS: usize = 512;
 
+/// What was learned longer ago is learned anew.
+const LEGACY_KEPT: Micros = 5_000_000;
+
+/// What a process leaves to the one that takes its place: what the module has learned, and what its numbers mean.
+#[derive(Serialize, Deserialize)]
+pub struct Legacy {
+    learned: fs::Learned,
+    zones: HashMap<u32, String>,
+    servers: HashMap<ServerId, String>,
+}
+
 /// What a timer is for.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
@@ -232,6 +244,32 @@
         self.feed(Event::Uploaded { request: id });
     }
 
+    /// What the module has learned, for the process that takes this one's place.
+    pub fn legacy(&self) -> Legacy {
+        let learned = self.balancer.borrow().learned(self.clock.now());
+        let (zones, servers) = self.tables.borrow().registry.names();
+        Legacy { learned, zones, servers }
+    }
+
+    /// Takes over what the process before this one had learned, if that is not long ago. To be called once the
+    /// first list is known.
+    pub fn inherit(&self, legacy: Legacy) {
+        let Legacy { mut learned, zones, servers } = legacy;
+        if self.clock.now().saturating_sub(learned.at) > LEGACY_KEPT {
+            return;
+        }
+        let registry = &self.tables.borrow().registry;
+        learned.zones.retain_mut(|z| {
+            let known = zones.get(&z.zone).and_then(|name| registry.zone(name));
+            known.map(|zone| z.zone = zone).is_some()
+        });
+        learned.servers.retain_mut(|s| {
+            let known = servers.get(&s.server).and_then(|name| registry.server(name));
+            known.map(|server| s.server = server).is_some()
+        });
+        self.balancer.borrow_mut().resume(&learned);
+    }
+
     /// Takes an upstream out until [`include`](Self::include), whatever discovery says. False if none has that
     /// name. It holds when this returns: nothing is sent any more that is not being sent.
     pub fn exclude(self: &Rc<Self>, name: &str) -> io::Result<bool> {
@@ -583,7 +621,7 @@
         }
     }
 
-    fn engine(fake: &Fake) -> Rc<Engine<Fake>> {
+    fn settings() -> fs::Settings {
         let second = 1_000_000;
         let class = fs::Class {
             effect: fs::Effect::Unsafe,
@@ -596,9 +634,11 @@
         };
         let mut settings = fs::Settings::new(vec![class]);
         settings.limits.cancel = true;
-        let engine =
-            Engine::new(settings, &Names::default(), 1, Rc::default(), fake.clone()).expect("good settings");
-        let listed = Listed {
+        settings
+    }
+
+    fn listed() -> Listed {
+        Listed {
             instance: "s-1".to_owned(),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             zone: "a".to_owned(),
@@ -607,8 +647,13 @@
             state: fs::ServerState::Ready,
             weight: 1.0,
             started: None,
-        };
-        engine.list(ListKind::Complete, vec![listed]);
+        }
+    }
+
+    fn engine(fake: &Fake) -> Rc<Engine<Fake>> {
+        let (book, names) = (Rc::default(), Names::default());
+        let engine = Engine::new(settings(), &names, 1, book, fake.clone()).expect("good settings");
+        engine.list(ListKind::Complete, vec![listed()]);
         engine
     }
 
@@ -628,6 +673,46 @@
         });
     }
 
+    #[test]
+    fn what_was_learned_is_taken_over_by_name() {
+        with(async |fake, engine| {
+            for _ in 0..20 {
+                let asking = engine.ask(asked(4_000_000));
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                fake.take().end(Outcome::Ok, None, Some(1));
+                asking.answer().await;
+            }
+            // Its window shrinks with a client that leaves.
+            drop(engine.ask(asked(4_000_000)));
+            fake.take().end(Outcome::Reset, None, None);
+            let text = serde_json::to_vec(&engine.legacy()).expect("text");
+            let legacy = || serde_json::from_slice::<Legacy>(&text).expect("what was written");
+            // It numbers the servers otherwise, and does not know all of them.
+            let settings = settings();
+            let heir =
+                Engine::new(settings, &Names::default(), 1, Rc::default(), fake.clone()).expect("settings");
+            let other = Listed { instance: "s-0".to_owned(), zone: "b".to_owned(), ..listed() };
+            heir.list(ListKind::Complete, vec![other, listed()]);
+            heir.inherit(legacy());
+            let (before, after) = (engine.legacy(), heir.legacy());
+            assert_eq!(after.learned.all, before.learned.all);
+            let window = |legacy: &Legacy, name: &str| {
+                let zone = legacy.learned.zones.iter().find(|z| legacy.zones[&z.zone] == name);
+                zone.expect("it is known").window
+            };
+            assert_eq!(window(&after, "a"), window(&before, "a"));
+            assert_ne!(window(&before, "a"), window(&after, "b"));
+            // What is old is no longer so.
+            let mut old = legacy();
+            old.learned.at -= 2 * LEGACY_KEPT;
+            let late =
+                Engine::new(self::settings(), &Names::default(), 1, Rc::default(), fake).expect("settings");
+            late.list(ListKind::Complete, vec![listed()]);
+            late.inherit(old);
+            assert_eq!(late.legacy().learned.all.counts, []);
+        });
+    }
+
     #[test]
     fn an_attempt_out_of_time_is_ended_once_and_its_late_end_is_no_news() {
         with(async |fake, engine| {
--- a/sloeline/src/handover.rs
+++ b/sloeline/src/handover.rs
@@ -9,6 +9,9 @@
 
 use socket2::{Domain, SockRef, Type};
 
+use crate::engine::Legacy;
+use crate::orders::replace;
+
 /// Processes of one balancer that may live at once: the one that leaves, its successor and a spare.
 const MOST: usize = 4;
 
@@ -68,6 +71,19 @@
     }
 }
 
+const LEGACY: &str = "sloeline-learned.json";
+
+/// Keeps what this process has learned for the one that takes its place.
+pub fn bequeath(folder: &Path, legacy: &Legacy) -> io::Result<()> {
+    replace(folder, LEGACY, &serde_json::to_vec(legacy)?).map(drop)
+}
+
+/// What the process before this one had learned; nothing if there was none or it cannot be read.
+pub fn legacy(folder: &Path) -> Option<Legacy> {
+    let text = std::fs::read(folder.join(LEGACY)).ok()?;
+    serde_json::from_slice(&text).inspect_err(|e| eprintln!("handover: {LEGACY} is passed over: {e}")).ok()
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -101,6 +117,16 @@
         drop((connected, taken));
     }
 
+    #[test]
+    fn what_cannot_be_read_is_passed_over() {
+        let folder = std::env::temp_dir().join(format!("sloeline-legacy-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        assert!(legacy(&folder).is_none());
+        std::fs::write(folder.join(LEGACY), b"{\"learned\":{\"at\":1").expect("a file");
+        assert!(legacy(&folder).is_none());
+        std::fs::remove_dir_all(&folder).expect("a folder");
+    }
+
     #[test]
     fn others_are_known_while_they_live() {
         let folder = std::env::temp_dir().join(format!("sloeline-presence-{}", std::process::id()));
--- a/sloeline/src/main.rs
+++ b/sloeline/src/main.rs
@@ -49,6 +49,8 @@
 const BODIES: f64 = 0.4;
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
+/// How often what was learned is kept for a successor.
+const BEQUEATH: Duration = Duration::from_millis(250);
 /// How often is looked whether another process of this balancer lives, and what operators have set there.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -194,6 +196,10 @@
         Some(known) => engine.list(ListKind::Stale, known.entries()),
         None => engine.begin(),
     }
+    let heir = folder.clone().filter(|_| shared);
+    if let Some(legacy) = heir.as_deref().and_then(handover::legacy) {
+        engine.inherit(legacy);
+    }
     // Real discovery pushes nothing: what the module is to hear unasked is asked for here.
     if unasked {
         let engine = engine.clone();
@@ -233,6 +239,18 @@
             life.stop();
         }
     });
+    if let Some(folder) = heir {
+        let (engine, life) = (engine.clone(), life.clone());
+        spawn_local(async move {
+            // Once told to stop, its successor knows better.
+            while life.takes() {
+                if let Err(e) = handover::bequeath(&folder, &engine.legacy()) {
+                    eprintln!("handover: what was learned is not kept: {e}");
+                }
+                sleep(BEQUEATH).await;
+            }
+        });
+    }
     let server = Server::new(engine.clone(), classes, tenants, callers, life.clone());
     life.accompany(known_processes > 1);
     if folder.is_some() {
--- a/sloeline/src/orders.rs
+++ b/sloeline/src/orders.rs
@@ -12,7 +12,6 @@
 use serde::{Deserialize, Serialize};
 
 const FILE: &str = "sloeline-orders.json";
-const WRITTEN: &str = "sloeline-orders.new";
 const LOCK: &str = "sloeline-orders.lock";
 /// A return is forgotten after this: whatever came back is warm by then.
 const RETURNS_KEPT: Micros = 3_600_000_000;
@@ -110,17 +109,22 @@
         self.look();
         let mut orders = self.orders().clone();
         change(&mut orders);
-        // Whole or not at all: a reader never meets a part of it.
-        let written = folder.join(WRITTEN);
-        let mut file = File::create(&written)?;
-        file.write_all(&serde_json::to_vec(&orders)?)?;
-        fs::rename(&written, folder.join(FILE))?;
+        let file = replace(folder, FILE, &serde_json::to_vec(&orders)?)?;
         self.stamp.set(Some(stamp(&file.metadata()?)));
         self.take(orders);
         Ok(())
     }
 }
 
+/// Writes a file whole or not at all: a reader never meets a part of it.
+pub fn replace(folder: &Path, name: &str, text: &[u8]) -> io::Result<File> {
+    let written = folder.join(format!("{name}.new"));
+    let mut file = File::create(&written)?;
+    file.write_all(text)?;
+    fs::rename(&written, folder.join(name))?;
+    Ok(file)
+}
+
 fn stamp(found: &fs::Metadata) -> Stamp {
     (found.ino(), found.mtime(), found.mtime_nsec(), found.size())
 }
--- a/sloeline/src/registry.rs
+++ b/sloeline/src/registry.rs
@@ -121,6 +121,22 @@
         (entries, left)
     }
 
+    /// The names of zones and of servers by their numbers, for a process that numbers them otherwise.
+    pub fn names(&self) -> (HashMap<u32, String>, HashMap<ServerId, String>) {
+        let names = |numbers: &Numbers| numbers.by_name.iter().map(|(name, n)| (*n, name.clone())).collect();
+        (names(&self.zones), names(&self.servers))
+    }
+
+    /// The number of a zone that is known.
+    pub fn zone(&self, name: &str) -> Option<u32> {
+        self.zones.by_name.get(name).copied()
+    }
+
+    /// The number of a server that is listed.
+    pub fn server(&self, name: &str) -> Option<ServerId> {
+        self.servers.by_name.get(name).copied()
+    }
+
     fn pass(&mut self, name: String) {
         if !self.past.contains(&name) {
             self.past.push_back(name);
--- a/src/api.rs
+++ b/src/api.rs
@@ -5,6 +5,8 @@
 
 use std::fmt;
 
+use serde::{Deserialize, Serialize};
+
 /// A point in time or a span, in microseconds.
 pub type Micros = u64;
 /// A server, as numbered by the caller; the same server keeps its number across restarts of its process.
@@ -567,3 +569,68 @@
     /// Ask discovery for the complete list once.
     Fetch,
 }
+
+/// What a balancer has learned, for one that takes its place.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Learned {
+    /// When it was so.
+    pub at: Micros,
+    /// When the first balancer of the line began.
+    pub began: Micros,
+    /// Attempts sent of late.
+    pub sent: f64,
+    /// Share of the attempts that fail.
+    pub failing: f64,
+    /// Latencies of all classes.
+    pub all: Latencies,
+    /// What it knows of each class.
+    pub classes: Vec<LearnedClass>,
+    /// What it knows of each zone.
+    pub zones: Vec<LearnedZone>,
+    /// What it knows of each server.
+    pub servers: Vec<LearnedServer>,
+}
+
+/// Latencies, as a histogram.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Latencies {
+    /// The buckets that are not empty.
+    pub counts: Vec<(usize, f64)>,
+    /// Factor on the highest percentile.
+    pub widen: f64,
+}
+
+/// What is known of a class.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LearnedClass {
+    /// Its latencies.
+    pub latency: Latencies,
+    /// The lowest median seen lately.
+    pub base: f64,
+    /// Mean of the hinted work.
+    pub work: f64,
+    /// Requests of late.
+    pub offered: f64,
+    /// Those that were served.
+    pub served: f64,
+}
+
+/// What is known of a zone.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LearnedZone {
+    /// The zone.
+    pub zone: ZoneId,
+    /// Attempts that may be out at once.
+    pub window: f64,
+    /// Attempts that are out or were given up, which its servers may still work on.
+    pub out: f64,
+}
+
+/// What is known of a server.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LearnedServer {
+    /// The server.
+    pub server: ServerId,
+    /// Failures in a row and, if it is open, until when, for each of its breakers.
+    pub breakers: Vec<(u32, Option<Micros>)>,
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -143,6 +143,24 @@
         self.total += 1.0;
         let step = if timed_out { 1.0 } else { -0.01 };
         self.widen = (self.widen * WIDEN.powf(step)).clamp(1.0, WIDEST);
+        self.measure();
+    }
+
+    fn learned(&self) -> Latencies {
+        let counts = self.counts.iter().copied().enumerate().filter(|(_, count)| *count > 0.0).collect();
+        Latencies { counts, widen: self.widen }
+    }
+
+    fn resume(&mut self, at: Micros, learned: &Latencies) {
+        for &(bucket, count) in learned.counts.iter().filter(|(_, count)| *count > 0.0) {
+            self.counts[bucket.min(BUCKETS - 1)] += count;
+            self.total += count;
+        }
+        (self.widen, self.faded) = (learned.widen.clamp(1.0, WIDEST), at);
+        self.measure();
+    }
+
+    fn measure(&mut self) {
         self.p50 = self.quantile(0.5);
         let tail = self.total >= TAIL_SAMPLES;
         self.p99 = if tail { self.quantile(0.99) * self.widen } else { f64::INFINITY };
@@ -410,6 +428,68 @@
         }
     }
 
+    /// What a balancer that takes this one's place would have to learn anew.
+    pub fn learned(&self, now: Micros) -> Learned {
+        let class = |c: &ClassState| LearnedClass {
+            latency: c.latency.learned(),
+            base: c.base,
+            work: c.work,
+            offered: c.offered,
+            served: c.served,
+        };
+        let zone = |(&zone, p): (&ZoneId, &Pool)| LearnedZone {
+            zone,
+            window: p.window,
+            out: p.in_flight as f64 + p.lingering,
+        };
+        let breaker = |b: &Breaker| match b.state {
+            State::Closed => (b.failures, None),
+            State::Open { until } => (b.failures, Some(until)),
+            State::HalfOpen => (b.failures, Some(now)),
+        };
+        let server = |s: &Server| LearnedServer {
+            server: s.entry.id,
+            breakers: s.breakers.iter().map(breaker).collect(),
+        };
+        Learned {
+            at: now,
+            began: self.began,
+            sent: self.sent,
+            failing: self.failing,
+            all: self.all.learned(),
+            classes: self.classes.iter().map(class).collect(),
+            zones: self.pools.iter().map(zone).collect(),
+            servers: self.servers.iter().map(server).collect(),
+        }
+    }
+
+    /// Takes over what the balancer before this one had learned of the same classes. Prevents a replaced
+    /// process from sending as many as a new fleet would take, each without a bound, to one that is busy.
+    pub fn resume(&mut self, learned: &Learned) {
+        if learned.classes.len() != self.classes.len() {
+            return;
+        }
+        (self.began, self.sent, self.failing) = (learned.began, learned.sent, learned.failing);
+        self.all.resume(learned.at, &learned.all);
+        for (c, from) in self.classes.iter_mut().zip(&learned.classes) {
+            c.latency.resume(learned.at, &from.latency);
+            (c.base, c.work, c.offered, c.served) = (from.base, from.work, from.offered, from.served);
+        }
+        for from in &learned.zones {
+            let Some(pool) = self.pools.get_mut(&from.zone) else { continue };
+            pool.window = from.window.max(LEAST_WINDOW);
+            // To the servers both are one: what that one has out still takes its places here.
+            pool.lingering = from.out;
+        }
+        for from in &learned.servers {
+            let Some(server) = self.servers.iter_mut().find(|s| s.entry.id == from.server) else { continue };
+            for (breaker, &(failures, until)) in server.breakers.iter_mut().zip(&from.breakers) {
+                breaker.failures = failures;
+                breaker.state = until.map_or(State::Closed, |until| State::Open { until });
+            }
+        }
+    }
+
     /// Prevents slow servers from passing for quick ones where the clients of the slowest calls leave: a call
     /// that was out then counts as late. Hurts where clients leave for reasons of their own.
     fn gone(&mut self, id: RequestId) {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -403,6 +403,54 @@
     assert_eq!(world.sends.values().sum::<u32>(), 2);
 }
 
+#[test]
+fn a_balancer_that_takes_anothers_place_knows_what_that_one_had_learned() {
+    let mut before = world(&[Effect::Unsafe], 3);
+    warm_up(&mut before, 0, 200, 20 * MS);
+    // One server fails all it gets.
+    for _ in 0..60 {
+        before.request(0);
+        let until = before.now + 21 * MS;
+        before.run(until, |out| Some((20 * MS, if out.server == 0 { Outcome::Error } else { Outcome::Ok })));
+    }
+    for _ in 0..4 {
+        before.request(0);
+    }
+    let learned = before.balancer.learned(before.now);
+    let mut after = world(&[Effect::Unsafe], 3);
+    after.now = before.now;
+    after.balancer.resume(&learned);
+    let again = after.balancer.learned(after.now);
+    assert_eq!(
+        (&again.all, &again.classes, &again.servers),
+        (&learned.all, &learned.classes, &learned.servers)
+    );
+    // Bound as the one before bounds it, and away from the server that fails.
+    after.request(0);
+    assert_eq!(last_out(&after).limit, last_out(&before).limit);
+    assert!(last_out(&after).limit < 200 * MS);
+    for _ in 0..40 {
+        after.request(0);
+    }
+    assert_eq!(after.sends.get(&0), None);
+    // What the one before still has out takes places.
+    let mut alone = world(&[Effect::Unsafe], 3);
+    alone.now = before.now;
+    alone.balancer.resume(&finchshift::Learned {
+        zones: learned.zones.iter().map(|z| finchshift::LearnedZone { out: 0.0, ..z.clone() }).collect(),
+        ..learned.clone()
+    });
+    for _ in 0..41 {
+        alone.request(0);
+    }
+    let sent = |world: &World| world.sends.values().sum::<u32>();
+    assert_eq!(sent(&alone), sent(&after) + 4);
+    // Of other classes nothing is taken over.
+    let mut other = world(&[Effect::Unsafe, Effect::Safe], 3);
+    other.balancer.resume(&learned);
+    assert_eq!(other.balancer.learned(other.now).all.counts, []);
+}
+
 #[test]
 fn a_cold_server_gets_its_cold_share() {
     let mut world = world(&[Effect::Safe], 4);
