--- a/sloeline/src/gate.rs
+++ b/sloeline/src/gate.rs
@@ -21,6 +21,8 @@
 pub const IDLE_TIME: Duration = Duration::from_secs(2);
 /// One that has not been idle for so long is not closed for others.
 const SPARED: Duration = Duration::from_millis(100);
+/// Nor one that has not been in the middle of a head for so long.
+const HALFWAY_SPARED: Duration = Duration::from_secs(1);
 /// A head may take this long from its first byte: callers may take 2 s for it.
 const HEAD_TIME: Duration = Duration::from_millis(2400);
 /// A request may take this long from its first byte to its last, and longer as its body comes.
@@ -60,25 +62,40 @@
     TooLarge,
 }
 
-/// The connections that are idle, longest first.
+/// The connections that may be closed for others: those that are idle and those in the middle of a head, each
+/// longest first.
 #[derive(Default)]
 pub struct Crowd {
     idle: RefCell<BTreeMap<u64, (Instant, AbortHandle)>>,
+    halfway: RefCell<BTreeMap<u64, (Instant, AbortHandle)>>,
     next: Cell<u64>,
 }
 
 impl Crowd {
-    /// Closes the connection that has been idle longest; else, when it may be. Guards those that have just come,
-    /// whose request is on its way.
+    /// Closes the connection that has been idle longest, or else longest in the middle of a head; else, when one
+    /// may be. Guards those that have just come, whose request is on its way.
     pub fn close_oldest(&self) -> Result<(), Option<Instant>> {
-        let mut idle = self.idle.borrow_mut();
-        let oldest = idle.first_entry().ok_or(None)?;
-        let ripe = oldest.get().0 + SPARED;
-        if ripe > Instant::now() {
-            return Err(Some(ripe));
+        let mut ripe: Option<Instant> = None;
+        for (list, spared) in [(&self.idle, SPARED), (&self.halfway, HALFWAY_SPARED)] {
+            let mut list = list.borrow_mut();
+            let Some(oldest) = list.first_entry() else { continue };
+            let at = oldest.get().0 + spared;
+            if at <= Instant::now() {
+                oldest.remove().1.abort();
+                return Ok(());
+            }
+            ripe = Some(ripe.map_or(at, |other| other.min(at)));
+        }
+        Err(ripe)
+    }
+
+    /// The list that connections at this are in.
+    fn list(&self, stage: Stage) -> Option<&RefCell<BTreeMap<u64, (Instant, AbortHandle)>>> {
+        match stage {
+            Stage::Idle => Some(&self.idle),
+            Stage::Head => Some(&self.halfway),
+            Stage::Body | Stage::Open => None,
         }
-        oldest.remove().1.abort();
-        Ok(())
     }
 }
 
@@ -151,20 +168,20 @@
             }
             Stage::Idle | Stage::Open => {}
         }
+        self.leave_crowd();
         self.stage.set(stage);
         self.since.set(now);
-        self.leave_crowd();
-        if let (Stage::Idle, Some(task)) = (stage, &*self.task.borrow()) {
+        if let (Some(list), Some(task)) = (self.crowd.list(stage), &*self.task.borrow()) {
             let place = self.crowd.next.get();
             self.crowd.next.set(place + 1);
-            self.crowd.idle.borrow_mut().insert(place, (now, task.clone()));
+            list.borrow_mut().insert(place, (now, task.clone()));
             self.place.set(Some(place));
         }
     }
 
     fn leave_crowd(&self) {
-        if let Some(place) = self.place.take() {
-            self.crowd.idle.borrow_mut().remove(&place);
+        if let (Some(place), Some(list)) = (self.place.take(), self.crowd.list(self.stage.get())) {
+            list.borrow_mut().remove(&place);
         }
     }
 
--- a/sloeline/tests/callers.rs
+++ b/sloeline/tests/callers.rs
@@ -239,6 +239,22 @@
     assert!(closed(&mut silent[0]), "the one that was idle longest stays");
 }
 
+#[test]
+fn those_that_stop_half_way_leave_room_for_those_that_ask() {
+    let upstream = Peer::new();
+    let balancer = Setup { sockets: 60, ..Setup::knowing(&[upstream.address]) }.start();
+    let _requests = upstream.serve(|_, stream| ok(stream));
+    let mut halfway: Vec<_> = (0..60).map(|_| balancer.connect()).collect();
+    for client in &mut halfway {
+        // Some of them may have made room already.
+        let _ = client.write_all(b"GET /api HTTP/1.1\r\nHost:");
+    }
+    let start = Instant::now();
+    assert_eq!(balancer.ask(&request("pay", "r-1", "")).status(), 200);
+    // 60 of them at 11 places, each for its whole time, would take 13 s.
+    assert!(start.elapsed() < Duration::from_secs(10), "it waits for those that never end");
+}
+
 #[test]
 fn a_request_that_names_the_whole_address_goes_on_as_a_path() {
     let upstream = Peer::new();
