Answer a house that stays full at once, and pause cold servers by the inherited rate

Connections beyond the places waited unread, /health/ready among them; after a quarter of a second of a full house the next few are taken, hear how the balancer is or 503, and are closed.

A new process hears of cold servers before it inherits the rate and left them out until they were warm: their first pause is reckoned anew. Test: a cold server gets its calls in a balancer that resumes.

--- a/sloeline/src/engine.rs
+++ b/sloeline/src/engine.rs
@@ -255,7 +255,8 @@
     /// first list is known.
     pub fn inherit(&self, legacy: Legacy) {
         let Legacy { mut learned, zones, servers } = legacy;
-        if self.clock.now().saturating_sub(learned.at) > LEGACY_KEPT {
+        let now = self.clock.now();
+        if now.saturating_sub(learned.at) > LEGACY_KEPT {
             return;
         }
         let registry = &self.tables.borrow().registry;
@@ -267,7 +268,7 @@
             let known = servers.get(&s.server).and_then(|name| registry.server(name));
             known.map(|server| s.server = server).is_some()
         });
-        self.balancer.borrow_mut().resume(&learned);
+        self.balancer.borrow_mut().resume(now, &learned);
     }
 
     /// Takes an upstream out until [`include`](Self::include), whatever discovery says. False if none has that
--- a/sloeline/src/server.rs
+++ b/sloeline/src/server.rs
@@ -47,6 +47,10 @@
 const QUICK_IDLE: Duration = Duration::from_secs(1);
 /// Pause after a connection could not be taken for want of descriptors.
 const NO_SOCKET_PAUSE: Duration = Duration::from_millis(20);
+/// How long a full house may last before connections beyond it are taken, to be told so.
+const FULL_PATIENCE: Duration = Duration::from_millis(250);
+/// How many of them at once; they are within the descriptors that are reserved.
+const BEYOND: usize = 6;
 /// Part of the connections from which on answers close theirs: room for callers that have none.
 const CROWDED: f64 = 0.75;
 /// How long what a caller still sends after its error is read and dropped.
@@ -165,12 +169,22 @@
     pub shared: bool,
 }
 
+/// A connection's place.
+struct Place {
+    _taken: Taken,
+    beyond: bool,
+}
+
 /// What the answering of requests needs.
 pub struct Server<W: Wire<Call = Call, Reply = Reply>> {
     engine: Rc<Engine<W>>,
     classes: HashMap<String, (fs::ClassId, fs::Class)>,
     tenants: HashMap<String, fs::TenantId>,
     places: Rc<Gauge>,
+    /// Connections beyond the places, where nobody makes room: each hears so at once, or how the balancer is.
+    beyond: Rc<Gauge>,
+    /// Since when there has been no place.
+    full: Cell<Option<Instant>>,
     crowd: Rc<Crowd>,
     /// Bytes that bodies and answers take.
     bodies: Rc<Gauge>,
@@ -198,7 +212,21 @@
         let tenants = tenants.into_iter().enumerate().map(|(i, name)| (name, i)).collect();
         let (places, bodies) = (Gauge::new(room.places), Gauge::new(room.bodies));
         let (crowd, ids, ordered) = (Rc::default(), RefCell::default(), Cell::default());
-        Rc::new(Server { engine, classes, tenants, places, crowd, bodies, ids, ordered, leave_within, life })
+        let (beyond, full) = (Gauge::new(BEYOND), Cell::default());
+        Rc::new(Server {
+            engine,
+            classes,
+            tenants,
+            places,
+            beyond,
+            full,
+            crowd,
+            bodies,
+            ids,
+            ordered,
+            leave_within,
+            life,
+        })
     }
 
     /// Other room than before. What is taken beyond it is given back as connections become idle.
@@ -247,7 +275,9 @@
             // Guards what was accepted against the order to stop: it is this process's to serve.
             let place = tokio::select! {
                 place = self.place() => place,
-                _ = phase.wait_for(|p| p.ends()), if door.shared => self.places.squeeze(1),
+                _ = phase.wait_for(|p| p.ends()), if door.shared => {
+                    Place { _taken: self.places.squeeze(1), beyond: false }
+                }
             };
             let progress = Progress::new(self.crowd.clone());
             let task = spawn_local(self.clone().connection(stream, place, progress.clone()));
@@ -260,24 +290,34 @@
     }
 
     /// A place for a new connection. Guards against those that say nothing and leave none: the one that has
-    /// been idle longest makes room.
-    async fn place(&self) -> Taken {
+    /// been idle longest makes room. Where none does for a while, the next few have places beyond.
+    async fn place(&self) -> Place {
         loop {
-            if let Some(place) = self.places.take(1) {
-                return place;
+            if let Some(taken) = self.places.take(1) {
+                self.full.set(None);
+                return Place { _taken: taken, beyond: false };
             }
-            match self.crowd.close_oldest() {
-                Ok(()) | Err(None) => self.places.freed().await,
-                Err(Some(ripe)) => tokio::select! {
-                    () = self.places.freed() => {}
-                    () = sleep_until(ripe) => {}
-                },
+            let now = Instant::now();
+            let patience = self.full.get().unwrap_or(now) + FULL_PATIENCE;
+            self.full.set(Some(patience - FULL_PATIENCE));
+            let ripe = match self.crowd.close_oldest() {
+                // It is closed once its task has been dropped.
+                Ok(()) => now + FULL_PATIENCE,
+                Err(ripe) => ripe.unwrap_or(now + FULL_PATIENCE),
+            };
+            if now >= patience
+                && let Some(taken) = self.beyond.take(1)
+            {
+                return Place { _taken: taken, beyond: true };
+            }
+            tokio::select! {
+                () = self.places.freed() => {}
+                () = sleep_until(ripe.min(patience.max(now + NO_SOCKET_PAUSE))) => {}
             }
         }
     }
 
-    async fn connection(self: Rc<Self>, stream: TcpStream, place: Taken, progress: Rc<Progress>) {
-        let _place = place;
+    async fn connection(self: Rc<Self>, stream: TcpStream, place: Place, progress: Rc<Progress>) {
         let _ = stream.set_nodelay(true);
         let used = Rc::new(Cell::new(false));
         let service = hyper::service::service_fn({
@@ -285,7 +325,8 @@
             move |request| {
                 used.set(true);
                 let (server, progress) = (server.clone(), progress.clone());
-                Box::pin(async move { Ok::<_, Infallible>(server.respond(request, &progress).await) })
+                let beyond = place.beyond;
+                Box::pin(async move { Ok::<_, Infallible>(server.respond(request, &progress, beyond).await) })
             }
         });
         let mut builder = http1::Builder::new();
@@ -335,9 +376,15 @@
         }
     }
 
-    async fn respond(&self, request: Request<Incoming>, progress: &Rc<Progress>) -> Response<Answering> {
+    async fn respond(
+        &self,
+        request: Request<Incoming>,
+        progress: &Rc<Progress>,
+        beyond: bool,
+    ) -> Response<Answering> {
         let mut response = match request.uri().path() {
             "/health/ready" => self.ready(),
+            "/api" if beyond => plain(StatusCode::SERVICE_UNAVAILABLE, "no place"),
             "/api" => self.api(request, progress).await,
             _ => plain(StatusCode::NOT_FOUND, "no such path"),
         };
@@ -348,7 +395,7 @@
         } else if !response.body().lasts() {
             progress.answered();
         }
-        if last || self.places.used_part() > CROWDED || self.life.phases.borrow().parts() {
+        if last || beyond || self.places.used_part() > CROWDED || self.life.phases.borrow().parts() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
--- a/sloeline/tests/callers.rs
+++ b/sloeline/tests/callers.rs
@@ -299,6 +299,34 @@
     }
 }
 
+#[test]
+fn a_house_that_stays_full_says_so() {
+    // 46 descriptors leave 3 for callers.
+    let upstream = Peer::new();
+    let balancer = Setup { sockets: 46, ..Setup::knowing(&[upstream.address]) }.start();
+    let mut held = Vec::new();
+    for id in 0..3 {
+        let mut client = balancer.connect();
+        client.write_all(request("pay", &format!("r-{id}"), "").as_bytes()).expect("it reads");
+        let mut stream = upstream.accept();
+        read(&mut stream).expect("an attempt");
+        held.push((client, stream));
+    }
+    for _ in 0..20 {
+        assert_eq!(balancer.ask(READY).status(), 200);
+    }
+    let refused = balancer.ask(&request("pay", "r-9", ""));
+    assert_eq!((refused.status(), refused.header("connection")), (503, Some("close")));
+    for (client, stream) in &mut held {
+        ok(stream);
+        assert_eq!(read(client).expect("an answer").status(), 200);
+    }
+    drop(held);
+    let mut answers = (10..20).map(|id| balancer.ask(&request("pay", &format!("r-{id}"), "")).status());
+    std::thread::spawn(move || ok(&mut upstream.accept()));
+    assert!(answers.any(|status| status == 200), "it stays full");
+}
+
 #[test]
 fn running_out_of_descriptors_is_survived() {
     let upstream = Peer::new();
--- a/sloeline/tests/operators.rs
+++ b/sloeline/tests/operators.rs
@@ -171,6 +171,28 @@
     }
 }
 
+#[test]
+fn a_successor_that_dies_harms_nothing_and_a_reload_changes_no_order() {
+    let ((a, to_a), (b, _to_b)) = (upstream(), upstream());
+    let folder = Folder::new("died");
+    let door = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let setup = || {
+        let (folder, door) = (Some(folder.0.clone()), Some(door.try_clone().expect("a descriptor")));
+        Setup { folder, door, ..managed(&[a, b]) }
+    };
+    let old = setup().start();
+    assert_eq!(old.call("POST", "/api/exclude/s-0"), 200);
+    let mut new = setup().start();
+    old.logged("2 processes");
+    new.child.kill().expect("it is killed");
+    old.logged("1 processes");
+    old.reload(&setup().config());
+    old.logged("configuration read again");
+    ask(&old, 0..10);
+    assert_eq!(to_a.try_iter().count(), 0);
+    assert_eq!(old.call("GET", "/api/ready"), 200);
+}
+
 #[test]
 fn a_descriptor_that_is_no_listener_is_one_plain_line() {
     for (fd, why) in [("seven", "no descriptor"), ("99", "no open socket"), ("1", "no open socket")] {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -214,6 +214,13 @@
         (rules.cold_from + (1.0 - rules.cold_from) * age).min(1.0)
     }
 
+    /// The first pause of one that is heard to be cold.
+    fn pause_while_cold(&mut self, now: Micros, pause: f64, rng: &mut fastrand::Rng, rules: &Rules) {
+        if self.share(now, rules) < 1.0 {
+            self.hold_while_cold(now + (pause / rules.cold_from * rng.f64()) as Micros, rules);
+        }
+    }
+
     /// Prevents a pause from outlasting the cold: a balancer with few calls would leave it out long after.
     fn hold_while_cold(&mut self, until: Micros, rules: &Rules) {
         self.not_before = until.min(self.entry.started.unwrap_or(0) + rules.warm_after);
@@ -465,7 +472,7 @@
 
     /// Takes over what the balancer before this one had learned of the same classes. Prevents a replaced
     /// process from sending as many as a new fleet would take, each without a bound, to one that is busy.
-    pub fn resume(&mut self, learned: &Learned) {
+    pub fn resume(&mut self, now: Micros, learned: &Learned) {
         if learned.classes.len() != self.classes.len() {
             return;
         }
@@ -488,6 +495,11 @@
                 breaker.state = until.map_or(State::Closed, |until| State::Open { until });
             }
         }
+        // What a list says of cold servers was heard before the rate was known.
+        let cold_pause = self.cold_pause(now);
+        for server in &mut self.servers {
+            server.pause_while_cold(now, cold_pause, &mut self.rng, &self.settings.rules);
+        }
     }
 
     /// Prevents slow servers from passing for quick ones where the clients of the slowest calls leave: a call
@@ -1043,10 +1055,7 @@
                 let cold_pause = self.cold_pause(now);
                 let breakers = vec![Breaker::default(); self.classes.len() + 1];
                 let mut server = Server { entry, in_flight, breakers, ..Server::default() };
-                if server.share(now, &self.settings.rules) < 1.0 {
-                    let wait = cold_pause / self.settings.rules.cold_from * self.rng.f64();
-                    server.hold_while_cold(now + wait as Micros, &self.settings.rules);
-                }
+                server.pause_while_cold(now, cold_pause, &mut self.rng, &self.settings.rules);
                 self.servers.push(server);
             }
         }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -419,7 +419,7 @@
     let learned = before.balancer.learned(before.now);
     let mut after = world(&[Effect::Unsafe], 3);
     after.now = before.now;
-    after.balancer.resume(&learned);
+    after.balancer.resume(after.now, &learned);
     let again = after.balancer.learned(after.now);
     assert_eq!(
         (&again.all, &again.classes, &again.servers),
@@ -436,18 +436,28 @@
     // What the one before still has out takes places.
     let mut alone = world(&[Effect::Unsafe], 3);
     alone.now = before.now;
-    alone.balancer.resume(&finchshift::Learned {
-        zones: learned.zones.iter().map(|z| finchshift::LearnedZone { out: 0.0, ..z.clone() }).collect(),
-        ..learned.clone()
-    });
+    alone.balancer.resume(
+        before.now,
+        &finchshift::Learned {
+            zones: learned.zones.iter().map(|z| finchshift::LearnedZone { out: 0.0, ..z.clone() }).collect(),
+            ..learned.clone()
+        },
+    );
     for _ in 0..41 {
         alone.request(0);
     }
     let sent = |world: &World| world.sends.values().sum::<u32>();
     assert_eq!(sent(&alone), sent(&after) + 4);
+    // A cold server waits as long as it would have there, not until it is warm.
+    let cold = ServerEntry { started: Some(before.now), ..ServerEntry::new(9) };
+    let mut to_cold = World::new(settings(&[Effect::Unsafe]), vec![ServerEntry::new(1), cold], 7);
+    to_cold.now = before.now;
+    to_cold.balancer.resume(before.now, &learned);
+    warm_up(&mut to_cold, 0, 200, 20 * MS);
+    assert!(to_cold.sends.get(&9).is_some_and(|sent| *sent > 5), "{:?}", to_cold.sends);
     // Of other classes nothing is taken over.
     let mut other = world(&[Effect::Unsafe, Effect::Safe], 3);
-    other.balancer.resume(&learned);
+    other.balancer.resume(other.now, &learned);
     assert_eq!(other.balancer.learned(other.now).all.counts, []);
 }
 
