Let a server take at most half as much again when others of its zone are out

Now the part of the window that may be used follows the servers left, at 1.5 times their own places.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -43,6 +43,8 @@
 /// A cold server may get this many times what would make it fall over if calls were spread evenly over fully
 /// busy servers. Its rank gives it less while others are free.
 const COLD_BURST: f64 = 1.5;
+/// Places that a server may take of those that are out, as a multiple of its own.
+const SPILL: f64 = 1.5;
 /// Retries that one first attempt pays for.
 const RETRY_SHARE: f64 = 0.1;
 /// Retries that may be saved up.
@@ -247,6 +249,8 @@
     servers: u32,
     /// Attempts that may be out at once.
     window: f64,
+    /// The part of the window that the servers left may take while others drain or are ejected.
+    usable: f64,
     in_flight: u32,
     /// Attempts given up that servers may still work on; they fade.
     lingering: f64,
@@ -746,8 +750,23 @@
         }
     }
 
+    /// How much of each window may be used now. Prevents the places of servers that are out from all going to
+    /// the ones left: in a small zone they would turn slow under them, and stay so.
+    fn measure_pools(&mut self, now: Micros) {
+        self.pools.values_mut().for_each(|p| p.usable = 0.0);
+        for s in self
+            .servers
+            .iter()
+            .filter(|s| s.entry.state == ServerState::Ready && s.breakers[0].state == State::Closed)
+        {
+            let pool = self.pools.entry(s.entry.zone).or_default();
+            pool.usable += SPILL / pool.servers.max(1) as f64;
+        }
+    }
+
     /// The ready server with fewest own calls in flight for its size; own zone first.
     fn pick(&mut self, now: Micros, id: RequestId) -> Option<usize> {
+        self.measure_pools(now);
         let request = &self.requests[&id];
         let may_cross = self.may_cross(now, request);
         let room = if self.express == Some(request.class) { EXPRESS } else { 1.0 };
@@ -768,7 +787,8 @@
             let pool = &self.pools[&entry.zone];
             let Some(trial) = server.passes(request.class, now) else { continue };
             let given_up = if self.settings.tier == 0 { pool.lingering } else { 0.0 };
-            let full = pool.in_flight as f64 + given_up >= pool.window.max(1.0) * room;
+            let full =
+                pool.in_flight as f64 + given_up >= (pool.window * pool.usable.min(1.0)).max(1.0) * room;
             if !request.upload && (full || (now < pool.resume && room == 1.0)) {
                 continue;
             }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -461,6 +461,21 @@
     assert_eq!(other.balancer.learned(other.now).all.counts, []);
 }
 
+#[test]
+fn the_places_of_a_server_that_is_out_do_not_all_go_to_the_ones_left() {
+    // The window is two places for each server.
+    let mut world = world(&[Effect::Unsafe], 4);
+    let drains = |id| ServerEntry { state: ServerState::Draining, ..ServerEntry::new(id) };
+    world.list(ListKind::Changes, (1..4).map(drains).collect());
+    for _ in 0..20 {
+        world.request(0);
+    }
+    assert_eq!(world.sends[&0], 3, "one server takes the places of four");
+    // Back, they have their own again.
+    world.list(ListKind::Changes, (1..4).map(ServerEntry::new).collect());
+    assert_eq!(world.out.len(), 8);
+}
+
 #[test]
 fn a_cold_server_gets_its_cold_share() {
     let mut world = world(&[Effect::Safe], 4);
