--- /dev/null
+++ b/fleet/src/draw.rs
@@ -0,0 +1,99 @@
+//! Random numbers that belong to a purpose and a number, whatever else was drawn before.
+
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, LogNormal, Pareto};
+
+use crate::day::Spread;
+
+/// What a number is drawn for.
+#[derive(Clone, Copy)]
+#[repr(u64)]
+pub(crate) enum For {
+    Arrivals = 1,
+    Request,
+    Attempt,
+    Server,
+    Message,
+    Fate,
+    Client,
+    Front,
+    Process,
+    News,
+    Pause,
+}
+
+/// The seed for a purpose and a number: two rounds of an avalanche, so that neighbours share nothing.
+fn mixed(seed: u64, purpose: For, number: u64) -> u64 {
+    let round = |x: u64| {
+        let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        x ^ (x >> 31)
+    };
+    let first = round(seed.wrapping_add((purpose as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15)));
+    round(first ^ number.wrapping_mul(0xd1b5_4a32_d192_ed03))
+}
+
+/// A stream of its own.
+pub(crate) fn stream(seed: u64, purpose: For, number: u64) -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(mixed(seed, purpose, number))
+}
+
+/// One number from 0 to 1, without the cost of a stream.
+pub(crate) fn unit(seed: u64, purpose: For, number: u64) -> f64 {
+    (mixed(seed, purpose, number) >> 11) as f64 / (1u64 << 53) as f64
+}
+
+/// A number for a pair.
+pub(crate) fn pair(a: u64, b: u64) -> u64 {
+    a.wrapping_mul(0x1_0000_01b3) ^ b.rotate_left(17)
+}
+
+/// A factor around 1 with the given deviation.
+pub(crate) fn factor(rng: &mut impl Rng, spread: Spread, cv: f64) -> f64 {
+    if cv <= 0.0 {
+        return 1.0;
+    }
+    // The distributions are built so that their mean is 1 and their deviation is `cv`.
+    let drawn = match spread {
+        Spread::Lognormal => {
+            let variance = (1.0 + cv * cv).ln();
+            LogNormal::new(-variance / 2.0, variance.sqrt()).map(|d| d.sample(rng))
+        }
+        Spread::Pareto => {
+            let shape = 1.0 + (1.0 + 1.0 / (cv * cv)).sqrt();
+            return Pareto::new((shape - 1.0) / shape, shape).map_or(1.0, |d| d.sample(rng));
+        }
+    };
+    drawn.unwrap_or(1.0)
+}
+
+/// Uniform within a range.
+pub(crate) fn within(rng: &mut impl Rng, (from, to): (f64, f64)) -> f64 {
+    from + (to - from) * rng.random::<f64>()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn factors_have_mean_one_and_the_deviation_asked_for() {
+        for (spread, cv) in [(Spread::Lognormal, 0.5), (Spread::Pareto, 0.5)] {
+            let mut rng = stream(7, For::Request, 1);
+            let drawn: Vec<f64> = (0..200_000).map(|_| factor(&mut rng, spread, cv)).collect();
+            let mean = drawn.iter().sum::<f64>() / drawn.len() as f64;
+            let deviation = drawn.iter().map(|x| (x - mean).powi(2)).sum::<f64>() / drawn.len() as f64;
+            assert!((mean - 1.0).abs() < 0.01, "{spread:?}: mean {mean}");
+            assert!((deviation.sqrt() - cv).abs() < 0.1, "{spread:?}: deviation {}", deviation.sqrt());
+        }
+    }
+
+    #[test]
+    fn neighbouring_numbers_share_nothing() {
+        let units: Vec<f64> = (0..10_000).map(|n| unit(3, For::Message, n)).collect();
+        let mean = units.iter().sum::<f64>() / 1e4;
+        let paired: f64 = units.windows(2).map(|w| (w[0] - 0.5) * (w[1] - 0.5)).sum::<f64>() / 1e4;
+        assert!((mean - 0.5).abs() < 0.01 && paired.abs() < 0.005, "mean {mean}, covariance {paired}");
+    }
+}
--- /dev/null
+++ b/fleet/src/policy.rs
@@ -0,0 +1,286 @@
+//! What decides for a balancer: the module, baselines that know no better, and one that knows all.
+
+use std::collections::BTreeMap;
+
+use finchshift::{
+    Action, Balancer, Effect, Event, Learned, ListKind, Micros, Outcome, RequestId, ServerEntry, ServerId,
+    ServerState, Settings, SettingsError,
+};
+
+use crate::server::Truth;
+
+/// Decides for one balancer.
+pub trait Policy: Send {
+    /// Takes one event and appends what is to be done. Only the policy that stands for the top reads `truth`.
+    fn handle(&mut self, now: Micros, event: Event, truth: &Truth<'_>, actions: &mut Vec<Action>);
+
+    /// What a process that takes this one's place would have to learn anew.
+    fn learned(&self, _now: Micros) -> Option<Learned> {
+        None
+    }
+
+    /// Takes that over.
+    fn resume(&mut self, _now: Micros, _learned: &Learned) {}
+}
+
+impl Policy for Balancer {
+    fn handle(&mut self, now: Micros, event: Event, _: &Truth<'_>, actions: &mut Vec<Action>) {
+        Balancer::handle(self, now, event, actions);
+    }
+
+    fn learned(&self, now: Micros) -> Option<Learned> {
+        Some(Balancer::learned(self, now))
+    }
+
+    fn resume(&mut self, now: Micros, learned: &Learned) {
+        Balancer::resume(self, now, learned);
+    }
+}
+
+/// The policies that can be played.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    /// The decision module.
+    Module,
+    /// Any ready server.
+    Random,
+    /// Each in turn.
+    RoundRobin,
+    /// The one with fewer own calls of two drawn.
+    TwoChoices,
+    /// Fewest own calls, without windows or breakers.
+    LeastInFlight,
+    /// Sees the true state of every server.
+    Oracle,
+}
+
+impl Kind {
+    /// All of them.
+    pub const ALL: [Kind; 6] =
+        [Kind::Module, Kind::Random, Kind::RoundRobin, Kind::TwoChoices, Kind::LeastInFlight, Kind::Oracle];
+
+    /// Its name in commands and files.
+    pub fn name(self) -> &'static str {
+        match self {
+            Kind::Module => "module",
+            Kind::Random => "random",
+            Kind::RoundRobin => "round-robin",
+            Kind::TwoChoices => "two-choices",
+            Kind::LeastInFlight => "least-in-flight",
+            Kind::Oracle => "oracle",
+        }
+    }
+
+    /// The policy of that name.
+    pub fn named(name: &str) -> Option<Kind> {
+        Kind::ALL.into_iter().find(|k| k.name() == name)
+    }
+
+    /// A policy of this kind for one process.
+    pub(crate) fn start(self, settings: Settings, seed: u64) -> Result<Box<dyn Policy>, SettingsError> {
+        Ok(match self {
+            Kind::Module => Box::new(Balancer::new(settings, seed)?),
+            _ => Box::new(Plain {
+                kind: self,
+                rng: fastrand::Rng::with_seed(seed),
+                turn: settings.me as usize,
+                settings,
+                servers: BTreeMap::new(),
+                requests: BTreeMap::new(),
+            }),
+        })
+    }
+}
+
+struct Known {
+    entry: ServerEntry,
+    in_flight: u32,
+}
+
+struct Open {
+    class: usize,
+    deadline: Micros,
+    sent: u32,
+    /// An attempt that may have run: when, and in which cell.
+    ran: Option<(Micros, u32)>,
+    last: Option<ServerId>,
+}
+
+/// Picks by one simple measure, waits for nothing, tries again once, and keeps the rules on drains and repeats.
+struct Plain {
+    kind: Kind,
+    settings: Settings,
+    rng: fastrand::Rng,
+    turn: usize,
+    servers: BTreeMap<ServerId, Known>,
+    requests: BTreeMap<RequestId, Open>,
+}
+
+/// Attempts for a request, where its class allows a repeat.
+const TRIES: u32 = 2;
+/// Work that the one with full sight sends to a cold server, in parts of what would push it over.
+const COLD_PART: f64 = 0.25;
+/// Between two looks of the one with full sight at what it holds.
+const LOOK: Micros = 5_000;
+const LOOK_AGAIN: u64 = 1;
+
+impl Policy for Plain {
+    fn handle(&mut self, now: Micros, event: Event, truth: &Truth<'_>, actions: &mut Vec<Action>) {
+        match event {
+            Event::Servers { kind, entries } => self.list(kind, entries),
+            Event::Request { id, class, time_left, .. } => {
+                let open = Open { class, deadline: now + time_left, sent: 0, ran: None, last: None };
+                self.requests.insert(id, open);
+                self.try_send(now, id, truth, actions);
+            }
+            Event::Outcome { request, server, outcome, closed, latency, .. } => {
+                if let Some(known) = self.servers.get_mut(&server) {
+                    known.in_flight = known.in_flight.saturating_sub(1);
+                }
+                if closed {
+                    self.requests.remove(&request);
+                } else {
+                    self.failed(now, request, (server, outcome, latency), truth, actions);
+                }
+            }
+            Event::Gone { request } => {
+                self.requests.remove(&request);
+            }
+            Event::Timer { token } => self.try_send(now, token - LOOK_AGAIN, truth, actions),
+            Event::Uploaded { .. } | Event::FirstByte { .. } | Event::Probed { .. } => {}
+        }
+    }
+}
+
+impl Plain {
+    fn list(&mut self, kind: ListKind, entries: Vec<ServerEntry>) {
+        if kind == ListKind::Failed {
+            return;
+        }
+        if kind != ListKind::Changes {
+            self.servers.retain(|id, _| entries.iter().any(|e| e.id == *id));
+        }
+        for entry in entries {
+            if entry.state == ServerState::Gone {
+                self.servers.remove(&entry.id);
+                continue;
+            }
+            let known = self.servers.entry(entry.id).or_insert(Known { entry: entry.clone(), in_flight: 0 });
+            known.entry = entry;
+        }
+    }
+
+    fn failed(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        (server, outcome, latency): (ServerId, Outcome, Micros),
+        truth: &Truth<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        let cell = self.servers.get(&server).map_or(0, |k| k.entry.cell);
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        if !outcome.never_ran() {
+            open.ran = open.ran.or(Some((now - latency, cell)));
+        }
+        let again = match (self.settings.classes[open.class].effect, open.ran) {
+            (Effect::Unsafe, Some(_)) => false,
+            (Effect::Keyed { window, .. }, Some((at, _))) => now + self.settings.tick < at + window,
+            _ => true,
+        };
+        if again && open.sent < TRIES.min(self.settings.limits.max_attempts) && now < open.deadline {
+            self.try_send(now, id, truth, actions);
+        } else {
+            self.end(id, actions);
+        }
+    }
+
+    fn end(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(open) = self.requests.remove(&id) else { return };
+        let safe = self.settings.classes[open.class].effect == Effect::Safe;
+        actions.push(if safe || open.ran.is_none() {
+            Action::Refuse { request: id, retry_after: 0 }
+        } else {
+            Action::Fail { request: id }
+        });
+    }
+
+    fn try_send(&mut self, now: Micros, id: RequestId, truth: &Truth<'_>, actions: &mut Vec<Action>) {
+        let Some(open) = self.requests.get(&id) else { return };
+        if now + 2 * LOOK >= open.deadline {
+            return self.end(id, actions);
+        }
+        let keyed = matches!(self.settings.classes[open.class].effect, Effect::Keyed { .. });
+        let cell = open.ran.filter(|_| keyed).map(|(_, cell)| cell);
+        let ready: Vec<ServerId> = self
+            .servers
+            .values()
+            .filter(|k| k.entry.state == ServerState::Ready && cell.is_none_or(|c| k.entry.cell == c))
+            .map(|k| k.entry.id)
+            .collect();
+        let others: Vec<ServerId> = ready.iter().copied().filter(|s| Some(*s) != open.last).collect();
+        let ready = if others.is_empty() { ready } else { others };
+        let fewest = |at: ServerId| self.servers.get(&at).map_or(0, |k| k.in_flight);
+        let picked = match self.kind {
+            Kind::RoundRobin => {
+                self.turn += 1;
+                ready.get(self.turn % ready.len().max(1)).copied()
+            }
+            Kind::TwoChoices if !ready.is_empty() => {
+                let (a, b) = (ready[self.rng.usize(..ready.len())], ready[self.rng.usize(..ready.len())]);
+                Some(if fewest(b) < fewest(a) { b } else { a })
+            }
+            Kind::LeastInFlight => {
+                let least = ready.iter().map(|s| fewest(*s)).min();
+                let ties: Vec<ServerId> =
+                    ready.iter().copied().filter(|s| Some(fewest(*s)) == least).collect();
+                (!ties.is_empty()).then(|| ties[self.rng.usize(..ties.len())])
+            }
+            Kind::Oracle => match self.seen(now, &ready, open, truth) {
+                Some(at) => Some(at),
+                // Holds what no server can take now: a place comes free before its time is over, or not.
+                None => {
+                    return actions.push(Action::Timer { delay: LOOK, token: id + LOOK_AGAIN });
+                }
+            },
+            _ => (!ready.is_empty()).then(|| ready[self.rng.usize(..ready.len())]),
+        };
+        let Some(server) = picked else { return self.end(id, actions) };
+        if let Some(known) = self.servers.get_mut(&server) {
+            known.in_flight += 1;
+        }
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        open.sent += 1;
+        open.last = Some(server);
+        actions.push(Action::Send { request: id, server, limit: open.deadline - now });
+    }
+
+    /// The server that would answer first, among those that would not be crowded or pushed over by one more.
+    fn seen(&self, now: Micros, ready: &[ServerId], open: &Open, truth: &Truth<'_>) -> Option<ServerId> {
+        let aim = self.settings.classes[open.class].aim as f64;
+        let left = (open.deadline - now) as f64;
+        let mut best: Option<(f64, ServerId)> = None;
+        for &id in ready {
+            let (Some(state), Some(known)) = (truth.of(id), self.servers.get(&id)) else { continue };
+            let pressed = state.share < 1.0
+                && state.backlog > COLD_PART * self.settings.rules.tip_after as f64 * state.share;
+            if !state.takes || state.spare <= 1.0 || state.choked || pressed || state.backlog > left.min(aim)
+            {
+                continue;
+            }
+            let away = if known.entry.zone == self.settings.zone { 0.0 } else { 40_000.0 };
+            let score = state.backlog + away + 1e3 * self.rng_free(id, now);
+            if best.is_none_or(|(s, _)| score < s) {
+                best = Some((score, id));
+            }
+        }
+        best.map(|(_, id)| id)
+    }
+
+    /// A tie-break that draws nothing.
+    fn rng_free(&self, server: ServerId, now: Micros) -> f64 {
+        let mixed =
+            (u64::from(server) ^ now ^ u64::from(self.settings.me) << 20).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        (mixed >> 40) as f64 / (1u64 << 24) as f64
+    }
+}
