--- /dev/null
+++ b/fleet/src/experiment.rs
@@ -0,0 +1,273 @@
+//! Many days, played in parallel, and what two plays of them differ by.
+
+use std::collections::BTreeMap;
+
+use rand::RngExt;
+use rayon::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::day::{Day, DayError};
+use crate::draw::{self, For};
+use crate::kinds::{self, Size};
+use crate::policy::Kind;
+use crate::world::play;
+
+/// Resamples of a bootstrap interval.
+const RESAMPLES: usize = 10_000;
+/// Differences under this are none.
+const ALIKE: f64 = 1e-9;
+
+/// A day to play, and with what.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Cell {
+    /// The kind of day.
+    pub kind: String,
+    /// Its seed.
+    pub seed: u64,
+    /// Its size.
+    pub size: Size,
+    /// The policy.
+    pub policy: Kind,
+}
+
+impl Cell {
+    /// The day of the cell.
+    pub fn day(&self) -> Result<Day, DayError> {
+        kinds::draw(&self.kind, self.seed, self.size)
+    }
+}
+
+/// What came of a cell: a line of an experiment's file.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Row {
+    /// What was played, in the words of whoever played it: a revision, a variation.
+    pub label: String,
+    /// The kind of day.
+    pub kind: String,
+    /// Its seed.
+    pub seed: u64,
+    /// Its size.
+    pub size: String,
+    /// The policy.
+    pub policy: String,
+    /// The result before rules.
+    pub g: f64,
+    /// The result that counts: zero where a rule was broken.
+    pub counted: f64,
+    /// Parts of the result.
+    pub whole: f64,
+    /// The worst ten seconds.
+    pub worst_window: f64,
+    /// The worst-served class.
+    pub worst_class: f64,
+    /// The worst-served tenant.
+    pub worst_tenant: f64,
+    /// Points that prices took.
+    pub prices: f64,
+    /// Share of the work that no answer came of.
+    pub waste: f64,
+    /// First tries.
+    pub requests: u64,
+    /// Attempts.
+    pub attempts: u64,
+    /// Servers that turned slow from crowding.
+    pub choked: usize,
+    /// Cold servers that fell over.
+    pub fallen: usize,
+    /// Rules broken.
+    pub broken: u64,
+}
+
+/// Plays all cells on all cores; rows come in the cells' order. `done` hears of each as it ends.
+pub fn run(label: &str, cells: &[Cell], done: impl Fn() + Sync) -> Result<Vec<Row>, DayError> {
+    let row = |cell: &Cell| {
+        let r = play(&cell.day()?, cell.policy, false)?.result;
+        done();
+        Ok(Row {
+            label: label.to_owned(),
+            kind: cell.kind.clone(),
+            seed: cell.seed,
+            size: cell.size.name().to_owned(),
+            policy: cell.policy.name().to_owned(),
+            g: r.g,
+            counted: r.counted,
+            whole: r.whole,
+            worst_window: r.worst_window,
+            worst_class: r.worst_class,
+            worst_tenant: r.worst_tenant,
+            prices: r.prices,
+            waste: r.waste,
+            requests: r.requests,
+            attempts: r.attempts,
+            choked: r.choked,
+            fallen: r.fallen,
+            broken: r.broken,
+        })
+    };
+    // Long days first would need a guess of their length; single cells handed out one by one do as well.
+    cells.par_iter().with_max_len(1).map(row).collect()
+}
+
+/// A mean with its interval.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Estimate {
+    /// How many values.
+    pub count: usize,
+    /// Their mean.
+    pub mean: f64,
+    /// The lower end of the 95% bootstrap interval.
+    pub low: f64,
+    /// The upper end.
+    pub high: f64,
+}
+
+impl Estimate {
+    /// Of these values; the resamples are the same for the same values.
+    pub fn of(values: &[f64]) -> Estimate {
+        let count = values.len();
+        let mean = values.iter().sum::<f64>() / count.max(1) as f64;
+        if count < 2 {
+            return Estimate { count, mean, low: f64::NEG_INFINITY, high: f64::INFINITY };
+        }
+        let mut means: Vec<f64> = (0..RESAMPLES as u64)
+            .into_par_iter()
+            .map(|resample| {
+                let mut rng = draw::stream(0, For::Process, resample);
+                (0..count).map(|_| values[rng.random_range(0..count)]).sum::<f64>() / count as f64
+            })
+            .collect();
+        means.sort_by(f64::total_cmp);
+        let at = |q: f64| means[((means.len() - 1) as f64 * q).round() as usize];
+        Estimate { count, mean, low: at(0.025), high: at(0.975) }
+    }
+}
+
+/// Two plays of one day.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Pair {
+    /// The kind of day.
+    pub kind: String,
+    /// Its size.
+    pub size: String,
+    /// Its seed.
+    pub seed: u64,
+    /// The first result.
+    pub a: f64,
+    /// The second.
+    pub b: f64,
+}
+
+/// What B does better than A, day by day.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Comparison {
+    /// Days that both have.
+    pub pairs: Vec<Pair>,
+    /// Days that one of them lacks.
+    pub unpaired: usize,
+    /// The mean difference.
+    pub all: Estimate,
+    /// The mean difference of each kind.
+    pub kinds: BTreeMap<String, Estimate>,
+    /// Share of the days on which B is better.
+    pub better: f64,
+    /// Share on which it is worse.
+    pub worse: f64,
+}
+
+impl Comparison {
+    /// Pairs rows by kind, size and seed. Fails where a file has a day twice.
+    pub fn of(a: &[Row], b: &[Row], value: impl Fn(&Row) -> f64) -> Result<Comparison, String> {
+        type Days<'r> = BTreeMap<(&'r str, &'r str, u64), &'r Row>;
+        fn days<'r>(rows: &'r [Row], name: &str) -> Result<Days<'r>, String> {
+            let mut days = BTreeMap::new();
+            for r in rows {
+                if days.insert((r.kind.as_str(), r.size.as_str(), r.seed), r).is_some() {
+                    let day = format!("{} {} {}", r.kind, r.seed, r.size);
+                    return Err(format!(
+                        "{name} has the day {day} more than once; name one policy and label"
+                    ));
+                }
+            }
+            Ok(days)
+        }
+        let (a, b) = (days(a, "the first")?, days(b, "the second")?);
+        let pairs: Vec<Pair> = a
+            .iter()
+            .filter_map(|(&(kind, size, seed), ra)| {
+                let rb = b.get(&(kind, size, seed))?;
+                let (kind, size) = (kind.to_owned(), size.to_owned());
+                Some(Pair { kind, size, seed, a: value(ra), b: value(rb) })
+            })
+            .collect();
+        if pairs.is_empty() {
+            return Err("the two have no day in common".to_owned());
+        }
+        let unpaired = a.len() + b.len() - 2 * pairs.len();
+        let difference = |p: &Pair| p.b - p.a;
+        let mut kinds: BTreeMap<String, Vec<f64>> = BTreeMap::new();
+        for p in &pairs {
+            kinds.entry(p.kind.clone()).or_default().push(difference(p));
+        }
+        let all: Vec<f64> = pairs.iter().map(difference).collect();
+        let share =
+            |test: fn(f64) -> bool| all.iter().filter(|d| test(**d)).count() as f64 / all.len() as f64;
+        Ok(Comparison {
+            unpaired,
+            all: Estimate::of(&all),
+            kinds: kinds.into_iter().map(|(kind, d)| (kind, Estimate::of(&d))).collect(),
+            better: share(|d| d > ALIKE),
+            worse: share(|d| d < -ALIKE),
+            pairs,
+        })
+    }
+
+    /// The days that differ most, the largest difference first.
+    pub fn moved_most(&self, count: usize) -> Vec<&Pair> {
+        let mut pairs: Vec<&Pair> = self.pairs.iter().collect();
+        pairs.sort_by(|p, q| (q.b - q.a).abs().total_cmp(&(p.b - p.a).abs()));
+        pairs.truncate(count);
+        pairs
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn row(kind: &str, seed: u64, g: f64) -> Row {
+        let line = format!(
+            r#"{{"label":"x","kind":"{kind}","seed":{seed},"size":"site","policy":"module","g":{g},"counted":{g},
+            "whole":0,"worst_window":0,"worst_class":0,"worst_tenant":0,"prices":0,"waste":0,"requests":0,
+            "attempts":0,"choked":0,"fallen":0,"broken":0}}"#
+        );
+        serde_json::from_str(&line).unwrap()
+    }
+
+    #[test]
+    fn pairs_go_by_day_and_the_interval_holds_the_true_difference() {
+        let mut rng = draw::stream(1, For::Request, 9);
+        let a: Vec<Row> = (0..100).map(|seed| row("calm", seed, rng.random())).collect();
+        let b: Vec<Row> = a
+            .iter()
+            .rev()
+            .map(|r| row("calm", r.seed, r.g + 0.02 + 0.1 * (rng.random::<f64>() - 0.5)))
+            .collect();
+        let c = Comparison::of(&a, &b, |r| r.g).unwrap();
+        assert_eq!((c.pairs.len(), c.unpaired), (100, 0));
+        assert!(c.all.low < 0.02 && 0.02 < c.all.high, "{:?}", c.all);
+        assert!(
+            c.all.high - c.all.low < 0.015,
+            "paired, the spread between days does not count: {:?}",
+            c.all
+        );
+        assert!((c.better + c.worse - 1.0).abs() < 1e-9);
+    }
+
+    #[test]
+    fn a_day_twice_or_none_in_common_is_an_error() {
+        let twice = [row("calm", 1, 0.5), row("calm", 1, 0.6)];
+        assert!(Comparison::of(&twice, &twice[..1], |r| r.g).unwrap_err().contains("more than once"));
+        assert!(Comparison::of(&twice[..1], &[row("busy", 1, 0.5)], |r| r.g).unwrap_err().contains("no day"));
+    }
+}
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod day;
 mod draw;
+pub mod experiment;
 pub mod judge;
 pub mod kinds;
 pub mod policy;
--- a/fleet/src/policy.rs
+++ b/fleet/src/policy.rs
@@ -99,6 +99,7 @@
 
 struct Open {
     class: usize,
+    since: Micros,
     deadline: Micros,
     sent: u32,
     /// An attempt that may have run: when, and in which cell.
@@ -118,6 +119,13 @@
 
 /// Attempts for a request, where its class allows a repeat.
 const TRIES: u32 = 2;
+/// Longest queue, in shortest aims, in which the one with full sight puts a request of the class that is worth
+/// most for its work, and of the one that is worth least.
+const QUEUE: [f64; 2] = [1.0, 0.5];
+/// It holds a request for this part of its class's aim, and refuses it then.
+const HOLD: f64 = 0.2;
+/// Nothing goes out with less than this part of its class's aim left.
+const LEAST_LEFT: f64 = 0.6;
 /// Work that the one with full sight sends to a cold server, in parts of what would push it over.
 const COLD_PART: f64 = 0.25;
 /// Between two looks of the one with full sight at what it holds.
@@ -129,7 +137,8 @@
         match event {
             Event::Servers { kind, entries } => self.list(kind, entries),
             Event::Request { id, class, time_left, .. } => {
-                let open = Open { class, deadline: now + time_left, sent: 0, ran: None, last: None };
+                let open =
+                    Open { class, since: now, deadline: now + time_left, sent: 0, ran: None, last: None };
                 self.requests.insert(id, open);
                 self.try_send(now, id, truth, actions);
             }
@@ -207,7 +216,7 @@
 
     fn try_send(&mut self, now: Micros, id: RequestId, truth: &Truth<'_>, actions: &mut Vec<Action>) {
         let Some(open) = self.requests.get(&id) else { return };
-        if now + 2 * LOOK >= open.deadline {
+        if now + 2 * LOOK >= open.deadline || (self.kind == Kind::Oracle && self.late(now, open)) {
             return self.end(id, actions);
         }
         let keyed = matches!(self.settings.classes[open.class].effect, Effect::Keyed { .. });
@@ -257,15 +266,22 @@
 
     /// The server that would answer first, among those that would not be crowded or pushed over by one more.
     fn seen(&self, now: Micros, ready: &[ServerId], open: &Open, truth: &Truth<'_>) -> Option<ServerId> {
-        let aim = self.settings.classes[open.class].aim as f64;
-        let left = (open.deadline - now) as f64;
+        let classes = &self.settings.classes;
+        let least = classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64;
+        // Classes with shorter aims cost less work: they get the last places.
+        let rank = classes.iter().filter(|c| c.aim < classes[open.class].aim).count() as f64;
+        let part = QUEUE[0] + (QUEUE[1] - QUEUE[0]) * rank / (classes.len() - 1).max(1) as f64;
+        // What a tier above has worked on already is not given up behind it.
+        let most = if self.settings.tier == 0 { least * part } else { f64::INFINITY };
+        if self.settings.tier == 0 && truth.behind(0) > most {
+            return None;
+        }
         let mut best: Option<(f64, ServerId)> = None;
         for &id in ready {
             let (Some(state), Some(known)) = (truth.of(id), self.servers.get(&id)) else { continue };
             let pressed = state.share < 1.0
                 && state.backlog > COLD_PART * self.settings.rules.tip_after as f64 * state.share;
-            if !state.takes || state.spare <= 1.0 || state.choked || pressed || state.backlog > left.min(aim)
-            {
+            if !state.takes || state.spare <= 1.0 || state.choked || pressed || state.backlog > most {
                 continue;
             }
             let away = if known.entry.zone == self.settings.zone { 0.0 } else { 40_000.0 };
@@ -277,6 +293,14 @@
         best.map(|(_, id)| id)
     }
 
+    /// Held for too long, or with too little time left.
+    fn late(&self, now: Micros, open: &Open) -> bool {
+        let aim = self.settings.classes[open.class].aim as f64;
+        let left = (open.deadline - now) as f64;
+        let held = (now - open.since) as f64 > HOLD * aim && self.settings.tier == 0;
+        open.sent == 0 && (held || left < LEAST_LEFT * aim / f64::from(1 + self.settings.tier))
+    }
+
     /// A tie-break that draws nothing.
     fn rng_free(&self, server: ServerId, now: Micros) -> f64 {
         let mixed =
--- a/fleet/src/server.rs
+++ b/fleet/src/server.rs
@@ -392,6 +392,17 @@
 }
 
 impl Truth<'_> {
+    /// Mean backlog of the fullest tier behind one.
+    pub fn behind(&self, tier: u32) -> f64 {
+        let mut sums: std::collections::BTreeMap<usize, (f64, f64)> = std::collections::BTreeMap::new();
+        for s in self.servers.iter().filter(|s| s.tier > tier as usize && s.up && !s.vanished && !s.silent) {
+            let (sum, count) = sums.entry(s.tier).or_default();
+            *sum += s.backlog(self.now);
+            *count += 1.0;
+        }
+        sums.values().map(|(sum, count)| sum / count).fold(0.0, f64::max)
+    }
+
     /// What is true of a server.
     pub fn of(&self, server: finchshift::ServerId) -> Option<TrueState> {
         let s = self.servers.get(server as usize)?;
