--- a/fleet/src/kinds.rs
+++ b/fleet/src/kinds.rs
@@ -10,7 +10,7 @@
 /// How large a day's fleet is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Size {
-    /// 6 + 7 servers, 2 balancers: the least that shows every fault.
+    /// 4 + 5 servers, 2 balancers: the size of the days on real sockets.
     Small,
     /// 6 to 8 servers of the first tier, 2 or 3 balancers: the size in service.
     Site,
@@ -207,7 +207,7 @@
 fn base(seed: u64, size: Size, parts: &[&str]) -> Day {
     let rng = &mut draw::stream(seed, For::Fate, 999);
     let (front, balancers) = match size {
-        Size::Small => (6, 2),
+        Size::Small => (4, 2),
         Size::Site => (whole(rng, 6, 8), whole(rng, 2, 3)),
         Size::Vast => (27, 73),
         Size::Huge => (270, 730),
