Keep room for a retry only where the first attempt still gets twelve P50

Cause: a first attempt's limit was cut by room for a retry as soon as five P50 were left. The tail of a class reaches far beyond that: the attempts cut were the heavy ones, half of their retries at P50 timed out too, and the work of both was lost.

Change: RETRY_ROOM 12 after 5, the same as the patience with silent servers; DESIGN's min(P99, time left less room for a retry) stands where that much is left.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -35,7 +35,7 @@
 /// Wait before a retry, in P50: short beside the call, long enough to spread.
 const BACKOFF: f64 = 0.1;
 /// Room for a retry is kept only where the first attempt still gets this many P50: a heavy one needs them.
-const RETRY_ROOM: f64 = 5.0;
+const RETRY_ROOM: f64 = 12.0;
 /// Attempts that no retry may follow get this many P99: a time-out gains a place and loses the request.
 const UNREPEATED: f64 = 3.0;
 /// An attempt that ran out after this many P50 counts against its server, whatever bound it.
