Send nothing with less than five P50 left, or half of its aim

Cause: a request was sent as long as P50 was left.

Change: LEAST_TIME, five P50, bounded by half of the class's aim as before. What falls under it is given up at once, as ever.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,6 +30,8 @@
 const WIDEST: f64 = 8.0;
 /// An attempt is sent while this share of its class's aim is left, whatever the learned P50.
 const ALWAYS_SENT: f64 = 0.5;
+/// With less time left than this many P50 nothing is sent: half of what takes long would be work for nobody.
+const LEAST_TIME: f64 = 5.0;
 /// Places of attempts given up fade by half in this many P50: a slow spell's P99 would fill the window.
 const LINGER: f64 = 2.0;
 /// Wait before a retry, in P50: short beside the call, long enough to spread.
@@ -648,7 +650,8 @@
         let p50 = self.percentiles(request.class).map_or(0.0, |p| p.p50);
         // Prevents a final answer that comes too late, where looks are further apart than the grace for it.
         let last_look = now + self.look >= request.deadline;
-        last_look || self.all_drain || left <= 0.0 || left < p50.min(aim * ALWAYS_SENT) * request.scale
+        let least = (p50 * LEAST_TIME).min(aim * ALWAYS_SENT) * request.scale;
+        last_look || self.all_drain || left <= 0.0 || left < least
     }
 
     /// Classes by what their requests are worth for their work, most first; the worst-served class counts for
