--- a/src/brain.rs
+++ b/src/brain.rs
@@ -56,7 +56,7 @@
 /// Share of answers that may come later than the queueing target before the window shrinks.
 const LATE_SHARE: f64 = 0.25;
 /// The window shrinks too when half of the answers took more than this many of the lowest P50 seen lately.
-const CROWDED: f64 = 1.25;
+const CROWDED: f64 = 1.6;
 /// Growth of that lowest P50 within a half-life, so that it follows a fleet that has changed.
 const BASE_RISE: f64 = 1.05;
 /// Change of the window for one answer.
