--- a/fleet/src/experiment.rs
+++ b/fleet/src/experiment.rs
@@ -14,6 +14,8 @@
 
 /// Resamples of a bootstrap interval.
 const RESAMPLES: usize = 10_000;
+/// Most and least that the floor of a day lies below its top.
+const SPAN: (f64, f64) = (0.3, 0.45);
 /// Differences under this are none.
 const ALIKE: f64 = 1e-9;
 
@@ -109,6 +111,24 @@
     cells.par_iter().with_max_len(1).map(row).collect()
 }
 
+/// The module's place between floor and top of each day on which that is known: kind, seed, score. The top is the
+/// best that any policy reached, the one with full sight among them; the floor is random choice, not far below.
+pub fn scores(rows: &[Row]) -> Vec<(&str, u64, f64)> {
+    let mut days: BTreeMap<(&str, &str, u64), BTreeMap<&str, &Row>> = BTreeMap::new();
+    for r in rows {
+        days.entry((&r.kind, &r.size, r.seed)).or_default().insert(&r.policy, r);
+    }
+    let score = |((kind, _, seed), day): ((_, _, u64), BTreeMap<&str, &Row>)| {
+        let (module, random) = (day.get("module")?, day.get("random")?);
+        day.get("oracle")?;
+        let top = day.values().map(|r| r.g).fold(f64::NEG_INFINITY, f64::max);
+        let floor = random.g.clamp(top - SPAN.1, top - SPAN.0);
+        let score = if module.broken > 0 { 0.0 } else { (module.g - floor) / (top - floor) };
+        Some((kind, seed, score.clamp(0.0, 1.0)))
+    };
+    days.into_iter().filter_map(score).collect()
+}
+
 /// A mean with its interval.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Estimate {
--- a/fleet/src/kinds.rs
+++ b/fleet/src/kinds.rs
@@ -33,10 +33,16 @@
             Size::Huge => "huge",
         }
     }
+}
+
+impl std::str::FromStr for Size {
+    type Err = String;
 
-    /// The size of that name.
-    pub fn named(name: &str) -> Option<Size> {
-        Size::ALL.into_iter().find(|s| s.name() == name)
+    /// The size of that name; the error lists them.
+    fn from_str(name: &str) -> Result<Size, String> {
+        let known = Size::ALL.map(Size::name).join(", ");
+        let found = Size::ALL.into_iter().find(|s| s.name() == name);
+        found.ok_or_else(|| format!("no size is called {name:?}; there are {known}"))
     }
 }
 
--- a/fleet/src/policy.rs
+++ b/fleet/src/policy.rs
@@ -71,11 +71,6 @@
         }
     }
 
-    /// The policy of that name.
-    pub fn named(name: &str) -> Option<Kind> {
-        Kind::ALL.into_iter().find(|k| k.name() == name)
-    }
-
     /// A policy of this kind for one process.
     pub(crate) fn start(self, settings: Settings, seed: u64) -> Result<Box<dyn Policy>, SettingsError> {
         Ok(match self {
@@ -93,6 +88,17 @@
     }
 }
 
+impl std::str::FromStr for Kind {
+    type Err = String;
+
+    /// The policy of that name; the error lists them.
+    fn from_str(name: &str) -> Result<Kind, String> {
+        let known = Kind::ALL.map(Kind::name).join(", ");
+        let found = Kind::ALL.into_iter().find(|k| k.name() == name);
+        found.ok_or_else(|| format!("no policy is called {name:?}; there are {known}"))
+    }
+}
+
 struct Known {
     entry: ServerEntry,
     in_flight: u32,
--- a/fleet/src/server.rs
+++ b/fleet/src/server.rs
@@ -247,6 +247,11 @@
         self.running.push(Reverse(((self.served + work).to_bits(), job)));
     }
 
+    /// Work beside its jobs: they share the delay, and idle cores take their part of it.
+    pub fn spend(&mut self, work: f64) {
+        self.served = (self.served - work / (self.running.len() as f64).max(self.cores)).max(0.0);
+    }
+
     /// The next job that has had its service.
     pub fn done(&mut self) -> Option<JobId> {
         let Reverse((at, _)) = *self.running.peek()?;
@@ -374,12 +379,12 @@
     pub(crate) now: Micros,
 }
 
-/// What is true of one server.
+/// What is true of one server; work and times are microseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct TrueState {
     /// It would take a request now, and answer.
     pub takes: bool,
-    /// Until the work that it has now is done.
+    /// Until the work that it has now is done, in microseconds.
     pub backlog: f64,
     /// Work a microsecond that it can do.
     pub capacity: f64,
@@ -392,7 +397,7 @@
 }
 
 impl Truth<'_> {
-    /// Mean backlog of the fullest tier behind one.
+    /// Mean backlog of the fullest tier behind one, in microseconds.
     pub fn behind(&self, tier: u32) -> f64 {
         let mut sums: std::collections::BTreeMap<usize, (f64, f64)> = std::collections::BTreeMap::new();
         for s in self.servers.iter().filter(|s| s.tier > tier as usize && s.up && !s.vanished && !s.silent) {
@@ -403,7 +408,7 @@
         sums.values().map(|(sum, count)| sum / count).fold(0.0, f64::max)
     }
 
-    /// What is true of a server.
+    /// What is true of a server; `None` for one that never was.
     pub fn of(&self, server: finchshift::ServerId) -> Option<TrueState> {
         let s = self.servers.get(server as usize)?;
         Some(TrueState {
--- a/fleet/src/world/calls.rs
+++ b/fleet/src/world/calls.rs
@@ -52,7 +52,7 @@
         let place = s.place as u32;
         let close = self.day.tiers[tier].connections.idle_close.0;
         let p = &mut self.processes[process as usize];
-        let mut found = false;
+        let (mut found, mut closed) = (false, 0);
         if let Some(idle) = p.idle.get_mut(&place) {
             // The end of a process shows on its connections, that of a machine does not.
             while let Some((since, to)) = idle.connections.pop_back() {
@@ -60,11 +60,12 @@
                     found = true;
                     break;
                 }
-                if to == epoch && self.servers[self.attempts[attempt as usize].to as usize].connections > 0 {
-                    self.servers[self.attempts[attempt as usize].to as usize].connections -= 1;
-                }
+                closed += u32::from(to == epoch);
             }
         }
+        for _ in 0..closed {
+            self.disconnect(to, epoch);
+        }
         let a = &mut self.attempts[attempt as usize];
         (a.connected, a.fresh) = (found, !found);
         if vanished {
@@ -403,6 +404,27 @@
         }
     }
 
+    /// A probe is answered beside the queue; it tells that the process runs, and costs work.
+    pub(super) fn probe(&mut self, process: ProcessAt, server: ServerAt) {
+        self.tally.probes += 1;
+        let number = draw::pair(u64::from(process) << 32 | u64::from(server), self.now);
+        let way = self.way(self.processes[process as usize].zone, self.servers[server as usize].zone, number);
+        let to = self.places[self.servers[server as usize].place];
+        let t = &self.day.tiers[self.servers[to as usize].tier];
+        let s = &mut self.servers[to as usize];
+        let (outcome, took) = if s.vanished || s.silent {
+            (Outcome::TimedOut, t.connections.connect_timeout.0)
+        } else if !s.up {
+            (Outcome::ConnectFailed, 2 * way)
+        } else {
+            s.advance(self.now);
+            s.spend(t.probe_work.0 as f64);
+            self.replan(to);
+            (Outcome::Ok, 2 * way)
+        };
+        self.after(took, Ev::Message { process, message: Message::Probed { server, outcome, took } });
+    }
+
     pub(super) fn disconnect(&mut self, server: ServerAt, epoch: u32) {
         let s = &mut self.servers[server as usize];
         if s.epoch == epoch && s.connections > 0 {
--- a/fleet/src/world/mod.rs
+++ b/fleet/src/world/mod.rs
@@ -89,6 +89,12 @@
     Outcome(AttemptAt, Outcome),
     Gone(RequestAt),
     Timer(u64),
+    /// A probe sent so long ago is over.
+    Probed {
+        server: ServerAt,
+        outcome: Outcome,
+        took: Micros,
+    },
 }
 
 struct Queued {
@@ -294,11 +300,19 @@
     &'a (dyn Fn(Settings, u64) -> std::result::Result<Box<dyn Policy>, SettingsError> + Sync);
 
 /// Plays a day with one kind of policy. With `detail`, servers are looked at every second.
+///
+/// # Errors
+///
+/// The day contradicts itself; the error names the key.
 pub fn play(day: &Day, kind: Kind, detail: bool) -> std::result::Result<Played, DayError> {
     play_with(day, &|settings, seed| kind.start(settings, seed), detail)
 }
 
 /// Plays a day with policies that `start` makes.
+///
+/// # Errors
+///
+/// The day contradicts itself, or `start` refuses its settings.
 pub fn play_with(day: &Day, start: Start<'_>, detail: bool) -> std::result::Result<Played, DayError> {
     day.check()?;
     for tier in 0..day.tiers.len() {
--- a/fleet/src/world/processes.rs
+++ b/fleet/src/world/processes.rs
@@ -203,6 +203,9 @@
                 Event::Gone { request: u64::from(request) }
             }
             Message::Timer(token) => Event::Timer { token },
+            Message::Probed { server, outcome, took } => {
+                Event::Probed { server, outcome, latency: took, load: None }
+            }
         };
         self.handle(process, event);
     }
@@ -253,11 +256,7 @@
                 }
             }
             Action::Probe { server } => {
-                self.tally.probes += 1;
-                let s = &self.servers[server as usize];
-                let outcome = if s.up && !s.vanished { Outcome::Ok } else { Outcome::ConnectFailed };
-                let event = Event::Probed { server, outcome, latency: 0, load: None };
-                self.handle(process, event);
+                self.probe(process, server);
             }
             Action::CloseIdle { server } => {
                 let place = self.servers[server as usize].place as u32;
--- a/fleet/tests/world.rs
+++ b/fleet/tests/world.rs
@@ -189,6 +189,33 @@
     assert_eq!(play(&day, Kind::Module, false).unwrap().result.fallen, 0);
 }
 
+#[test]
+fn probes_take_their_way_cost_work_and_have_their_price() {
+    let mut day = plain(1, 60.0);
+    (day.tiers[0].probe_work, day.prices.probe) = (Span::ms(10.0), 0.01);
+    let decide = |probes: bool| -> Decide {
+        if probes {
+            |_, now, event, actions| match event {
+                Event::Request { id, .. } => actions.extend([Action::Probe { server: 0 }, send(id, 0)]),
+                Event::Probed { latency, .. } => assert!(latency > 0 && now > latency, "{latency}"),
+                Event::Outcome { request, closed: false, .. } => actions.push(Action::Fail { request }),
+                _ => {}
+            }
+        } else {
+            |_, _, event, actions| match event {
+                Event::Request { id, .. } => actions.push(send(id, 0)),
+                Event::Outcome { request, closed: false, .. } => actions.push(Action::Fail { request }),
+                _ => {}
+            }
+        }
+    };
+    // Two cores have room for 100 requests of 20 ms a second, of which 60 come; as many probes of 10 ms more crowd them.
+    day.classes[0].aim = Span::ms(40.0);
+    let (without, with) = (scripted(&day, decide(false)).result, scripted(&day, decide(true)).result);
+    assert!(with.prices > without.prices + 0.009, "{} after {}", with.prices, without.prices);
+    assert!(with.ends.late > without.ends.late, "{:?} after {:?}", with.ends, without.ends);
+}
+
 #[test]
 fn losses_are_told_with_their_cause_and_server() {
     let mut day = plain(3, 60.0);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -311,6 +311,36 @@
     assert!(world.sends[&1] > before + 4, "{before}, then {:?}", world.sends);
 }
 
+#[test]
+fn a_retrys_p50_opens_no_breaker() {
+    let mut world = world(&[Effect::Safe], 4);
+    warm_up(&mut world, 0, 40, 10 * MS);
+    let sent = |world: &World| world.sends.get(&1).copied().unwrap_or(0);
+    // Server 1 turns first attempts away, which tells nothing, and answers no retry; server 0 breaks off what it gets.
+    let mut ran_out = 0;
+    for _ in 0..60 {
+        world.request(0);
+        let until = world.now + 60 * MS;
+        world.run(until, |o| match o.server {
+            1 if o.limit < 15 * MS => {
+                ran_out += 1;
+                None
+            }
+            1 => Some((MS, Outcome::Full)),
+            0 => Some((MS, Outcome::Reset)),
+            _ => Some((10 * MS, Outcome::Ok)),
+        });
+    }
+    assert!(ran_out >= 3, "retries ran out at P50 {ran_out} times");
+    let before = sent(&world);
+    for _ in 0..20 {
+        world.request(0);
+        let until = world.now + 40 * MS;
+        world.run(until, |_| Some((10 * MS, Outcome::Ok)));
+    }
+    assert!(sent(&world) > before + 2, "{before}, then {:?}", world.sends);
+}
+
 #[test]
 fn when_all_servers_fail_most_stay_in_use() {
     let mut world = world(&[Effect::Safe], 9);
--- a/zincstand/src/model/explain.rs
+++ b/zincstand/src/model/explain.rs
@@ -16,19 +16,13 @@
     #[command(flatten)]
     source: Source,
     /// Who decides
-    #[arg(long, default_value = "module", value_parser = one)]
+    #[arg(long, default_value = "module")]
     policy: Kind,
     /// Lines of each table
     #[arg(long, default_value_t = 12)]
     lines: usize,
 }
 
-/// One policy by its name.
-pub fn one(name: &str) -> Result<Kind, String> {
-    let known: Vec<&str> = Kind::ALL.iter().map(|k| k.name()).collect();
-    Kind::named(name).ok_or_else(|| format!("no policy {name:?}; there are {}", known.join(", ")))
-}
-
 pub fn run(args: &Explain) -> Result<()> {
     let day = args.source.day()?;
     let played = play(&day, args.policy, true)?;
--- a/zincstand/src/model/mod.rs
+++ b/zincstand/src/model/mod.rs
@@ -63,7 +63,7 @@
     #[arg(long, default_value_t = 1)]
     seed: u64,
     /// small, site, vast or huge
-    #[arg(long, default_value = "site", value_parser = size)]
+    #[arg(long, default_value = "site")]
     size: Size,
 }
 
@@ -115,7 +115,7 @@
     #[arg(long, default_value = "50", value_parser = seeds)]
     seeds: RangeInclusive<u64>,
     /// small, site, vast or huge
-    #[arg(long, default_value = "site", value_parser = size)]
+    #[arg(long, default_value = "site")]
     size: Size,
     /// Policies joined by commas, or all
     #[arg(long, default_value = "all", value_parser = policies)]
@@ -131,20 +131,11 @@
 #[derive(Clone)]
 struct Policies(Vec<Kind>);
 
-fn size(name: &str) -> Result<Size, String> {
-    let names: Vec<&str> = Size::ALL.iter().map(|s| s.name()).collect();
-    Size::named(name).ok_or_else(|| format!("the sizes are {}", names.join(", ")))
-}
-
 fn policies(names: &str) -> Result<Policies, String> {
     if names == "all" {
         return Ok(Policies(Kind::ALL.to_vec()));
     }
-    let one = |name: &str| {
-        let known: Vec<&str> = Kind::ALL.iter().map(|k| k.name()).collect();
-        Kind::named(name).ok_or_else(|| format!("no policy {name:?}; there are {} and all", known.join(", ")))
-    };
-    names.split(',').map(one).collect::<Result<_, _>>().map(Policies)
+    names.split(',').map(str::parse).collect::<Result<_, _>>().map(Policies)
 }
 
 fn seeds(text: &str) -> Result<RangeInclusive<u64>, String> {
--- a/zincstand/src/model/report.rs
+++ b/zincstand/src/model/report.rs
@@ -6,7 +6,7 @@
 
 use anyhow::{Context, Result, anyhow};
 use clap::Args;
-use zincstand_fleet::experiment::{Comparison, Row};
+use zincstand_fleet::experiment::{Comparison, Row, scores};
 use zincstand_fleet::play;
 use zincstand_fleet::policy::Kind;
 
@@ -19,7 +19,7 @@
     #[command(flatten)]
     source: Source,
     /// Who decides on the day
-    #[arg(long, default_value = "module", value_parser = explain::one)]
+    #[arg(long, default_value = "module")]
     policy: Kind,
     /// Rows of an experiment: distribution of scores and results by kind
     #[arg(long)]
@@ -76,7 +76,7 @@
         }
         groups.into_iter().collect::<Vec<_>>()
     };
-    let scores = tables::scores(all);
+    let scores = scores(all);
     let mut drawn = Vec::new();
     if !scores.is_empty() {
         let groups = group(&mut scores.iter().map(|(k, _, s)| (*k, *s)));
--- a/zincstand/src/model/tables.rs
+++ b/zincstand/src/model/tables.rs
@@ -5,14 +5,11 @@
 use anyhow::Result;
 use comfy_table::{CellAlignment, Table, presets};
 use zincstand_fleet::day::Day;
-use zincstand_fleet::experiment::Row;
+use zincstand_fleet::experiment::{Row, scores};
 use zincstand_fleet::judge;
 use zincstand_fleet::kinds::{self, Size};
 use zincstand_fleet::policy::Kind;
 
-/// Most and least that the floor of a day lies below its top.
-const SPAN: (f64, f64) = (0.3, 0.45);
-
 /// A table without lines, figures to the right.
 pub fn table(head: &[&str], words: usize) -> Table {
     let mut table = Table::new();
@@ -145,21 +142,3 @@
     line("all", &all);
     format!("{t}\n(mean G by policy; the module's score is its place between floor and top of the day)")
 }
-
-/// The module's place between floor and top of each day on which that is known: kind, seed, score. The top is the
-/// best that any policy reached, the one with full sight among them; the floor is random choice, not far below.
-pub fn scores(rows: &[Row]) -> Vec<(&str, u64, f64)> {
-    let mut days: BTreeMap<(&str, &str, u64), BTreeMap<&str, &Row>> = BTreeMap::new();
-    for r in rows {
-        days.entry((&r.kind, &r.size, r.seed)).or_default().insert(&r.policy, r);
-    }
-    let score = |((kind, _, seed), day): ((_, _, u64), BTreeMap<&str, &Row>)| {
-        let (module, random) = (day.get("module")?, day.get("random")?);
-        day.get("oracle")?;
-        let top = day.values().map(|r| r.g).fold(f64::NEG_INFINITY, f64::max);
-        let floor = random.g.clamp(top - SPAN.1, top - SPAN.0);
-        let score = if module.broken > 0 { 0.0 } else { (module.g - floor) / (top - floor) };
-        Some((kind, seed, score.clamp(0.0, 1.0)))
-    };
-    days.into_iter().filter_map(score).collect()
-}
