Draw latency by server in the model's report

Cause: the report showed what servers hold, windows and breakers, and no latency; a slow server was seen only by its queue.

Change: a sample has the mean latency of the server's answers in that second; the report draws it.

--- a/fleet/src/judge.rs
+++ b/fleet/src/judge.rs
@@ -285,6 +285,8 @@
     pub open: u32,
     /// Window of its zone, in places a server, summed over its balancers.
     pub window: f64,
+    /// Mean latency of the attempts that it answered since the second before, in microseconds; 0 if it had none.
+    pub latency: f64,
 }
 
 /// Worth earned and asked for.
--- a/fleet/src/server.rs
+++ b/fleet/src/server.rs
@@ -74,6 +74,8 @@
     pub breaking: f64,
     /// How many times the work, and of which class.
     pub slow: Option<(f64, Option<usize>)>,
+    /// Attempts that it answered since it was last looked at, and their latencies together.
+    pub answered: (u32, Micros),
     /// Work sent to it while cold: when, how much, whether its sender knew.
     pushed: VecDeque<(Micros, f64, bool)>,
 }
@@ -134,6 +136,7 @@
             silent: false,
             breaking: 0.0,
             slow: None,
+            answered: (0, 0),
             pushed: VecDeque::new(),
         }
     }
--- a/fleet/src/world/calls.rs
+++ b/fleet/src/world/calls.rs
@@ -307,6 +307,10 @@
             let arrival = self.requests[request as usize].arrival;
             self.arrivals[arrival as usize].charge(cause, Some(to), self.now - sent);
         }
+        if outcome == Outcome::Ok {
+            let (count, sum) = &mut self.servers[to as usize].answered;
+            (*count, *sum) = (*count + 1, *sum + (self.now - sent));
+        }
         let kept = matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full);
         self.end_attempt(attempt, kept);
         self.message(process, Message::Outcome(attempt, outcome));
--- a/fleet/src/world/mod.rs
+++ b/fleet/src/world/mod.rs
@@ -483,8 +483,10 @@
                 share: s.share(self.now),
                 open: 0,
                 window: 0.0,
+                latency: s.answered.1 as f64 / f64::from(s.answered.0.max(1)),
             })
             .collect();
+        self.servers.iter_mut().for_each(|s| s.answered = (0, 0));
         let mut in_zone: BTreeMap<(usize, u32), f64> = BTreeMap::new();
         for s in &self.servers {
             *in_zone.entry((s.tier, s.zone)).or_default() += f64::from(u8::from(s.up));
--- a/zincstand/src/model/plots.rs
+++ b/zincstand/src/model/plots.rs
@@ -112,6 +112,14 @@
     )
 }
 
+/// Mean latency of each server's answers.
+pub fn latencies(samples: &[Vec<Sample>]) -> Result<String> {
+    let most = samples.iter().flatten().map(|s| s.latency).fold(1.0, f64::max);
+    let caption =
+        format!("Mean latency of each server's answers: the darker the slower, up to {:.1} s", most / 1e6);
+    fields(&caption, samples, |s| LATE.mix((s.latency / most).sqrt()))
+}
+
 /// How many balancers have a breaker open for each server.
 pub fn breakers(samples: &[Vec<Sample>]) -> Result<String> {
     let most = samples.iter().flatten().map(|s| s.open).max().unwrap_or(0).max(1) as f64;
--- a/zincstand/src/model/report.rs
+++ b/zincstand/src/model/report.rs
@@ -43,7 +43,12 @@
     let head = tables::results(&day, &[(args.policy.name(), played.result.clone())]);
     section(&mut page, "The day", &head, &[plots::seconds(&played.detail.seconds)?]);
     let samples = &played.detail.servers;
-    let drawn = [plots::servers(samples)?, plots::windows(samples)?, plots::breakers(samples)?];
+    let drawn = [
+        plots::servers(samples)?,
+        plots::latencies(samples)?,
+        plots::windows(samples)?,
+        plots::breakers(samples)?,
+    ];
     section(&mut page, "Servers, windows, breakers", "", &drawn);
     let lost = explain::sums(&played.detail.losses, |l| l.cause);
     let lost: Vec<String> =
--- a/zincstand/tests/model.rs
+++ b/zincstand/tests/model.rs
@@ -97,6 +97,6 @@
     let small = ["--kind", "silent", "--size", "small"];
     ok(&[&["report", "--experiment", rows, "--against", rows, "--out", page], &small[..]].concat());
     let html = std::fs::read_to_string(page).unwrap();
-    assert_eq!(html.matches("<svg").count(), 7, "four of the day, two of scores, one of differences");
+    assert_eq!(html.matches("<svg").count(), 8, "five of the day, two of scores, one of differences");
     assert!(!html.contains("http://") || html.matches("http://").count() == html.matches("w3.org").count());
 }
