Call off what waits for a connection when its caller leaves, and begin no upload of one that left

Seen: a caller that left while the connection to its upstream was still coming up got its request sent on when it came, up to the connect timeout later (new test with a listener whose queue is full: one to two of three on the code before). A long upload whose caller had left while no server was known was begun at the first server that came: its head and 64 KiB went on for nobody ("v-long" in the test).

Ruled out: the module, which forgets the request at once; a retry that waits for its server (never sent, before and after). Lines at fault: engine.rs `gone` told the module and left the attempt to itself; `send` looked whether a body was spent, not whether its caller was still there.

--- a/sloeline/src/engine.rs
+++ b/sloeline/src/engine.rs
@@ -405,10 +405,34 @@
         };
         if left {
             self.feed(Event::Gone { request: id });
+            // Guards the upstreams: what waits for a connection is for nobody.
+            self.recall(|open, _| open.answer.is_none(), Some(id));
             self.settle(id);
         }
     }
 
+    /// Ends the attempts that must not begin any more: those of which nothing has been sent, as chosen, of one
+    /// request or of all.
+    fn recall(self: &Rc<Self>, choose: impl Fn(&Open<W>, &Out<W::Out>) -> bool, only: Option<RequestId>) {
+        let mut waiting = Vec::new();
+        {
+            let tables = self.tables.borrow();
+            let mut look = |id: RequestId, open: &Open<W>| {
+                let waits = |out: &&Out<W::Out>| out.handle.as_ref().is_some_and(|h| !W::begun(h));
+                let chosen = open.out.iter().filter(waits).filter(|out| choose(open, out));
+                waiting.extend(chosen.map(|out| (id, out.attempt)));
+            };
+            match only {
+                Some(id) => tables.open.get(&id).into_iter().for_each(|open| look(id, open)),
+                None => tables.open.iter().for_each(|(&id, open)| look(id, open)),
+            }
+        }
+        waiting.sort_unstable();
+        for (id, attempt) in waiting {
+            self.call_off(id, attempt, Outcome::Cancelled);
+        }
+    }
+
     /// Forgets a request that is answered and has nothing out.
     fn settle(&self, id: RequestId) {
         let mut tables = self.tables.borrow_mut();
@@ -534,6 +558,11 @@
 
     /// Starts an attempt. What the rules forbid whatever the module says is not sent, and told so.
     fn send(self: &Rc<Self>, now: Micros, id: RequestId, server: ServerId, limit: Micros) {
+        // Guards the upstream against the beginning of a body that will never be whole.
+        let left = self.tables.borrow().open.get(&id).is_some_and(|open| W::broken_off(&open.call));
+        if left {
+            self.gone(id);
+        }
         let target = self.target(server);
         let (call, attempt, limit, started) = {
             let mut tables = self.tables.borrow_mut();
@@ -606,6 +635,12 @@
         fn spent(_: &()) -> bool {
             false
         }
+        fn broken_off(_: &()) -> bool {
+            false
+        }
+        fn begun(_: &()) -> bool {
+            true
+        }
         fn abort(&self, _: ()) -> bool {
             self.aborted.set(self.aborted.get() + 1);
             self.ran.get()
--- a/sloeline/src/gate.rs
+++ b/sloeline/src/gate.rs
@@ -4,14 +4,14 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io::{self, Read as _};
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -268,6 +268,11 @@
         }
     }
 
+    /// The caller has left in the middle of its request; see [`Inbound::broken_off`].
+    pub fn broken_off(&self) -> bool {
+        self.inbound.upgrade().is_some_and(|inbound| inbound.borrow().broken_off())
+    }
+
     /// When it has been at this for too long; a request that is open has a clock of its own. Guards against a
     /// peer that is silent first and slow then, each for less than it may: it is owed an end within 3 s in all.
     pub fn due(&self, idle_time: Duration) -> Option<Instant> {
@@ -379,6 +384,14 @@
         Some(read)
     }
 
+    /// The caller of a request that is still coming has ended its sending, so that it never comes whole; known
+    /// once the runtime has looked, and without reading what may be far too much to hold.
+    pub fn broken_off(&self) -> bool {
+        let looked =
+            pin!(self.stream.ready(Interest::READABLE)).poll(&mut Context::from_waker(Waker::noop()));
+        self.ended || matches!(looked, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+    }
+
     /// The socket, when hyper is done with it.
     pub fn into_stream(self) -> TcpStream {
         self.stream
--- a/sloeline/src/main.rs
+++ b/sloeline/src/main.rs
@@ -92,6 +92,14 @@
         call.spent()
     }
 
+    fn broken_off(call: &Call) -> bool {
+        call.broken_off()
+    }
+
+    fn begun(out: &Attempt) -> bool {
+        out.begun()
+    }
+
     fn abort(&self, out: Attempt) -> bool {
         out.abort()
     }
--- a/sloeline/src/upstream.rs
+++ b/sloeline/src/upstream.rs
@@ -50,6 +50,11 @@
         matches!(&self.body, Payload::Passed(upload) if upload.spent())
     }
 
+    /// Its caller has left before it was whole.
+    pub fn broken_off(&self) -> bool {
+        matches!(&self.body, Payload::Passed(upload) if upload.broken_off())
+    }
+
     fn request(&self, address: SocketAddr, limit: Option<Micros>) -> Request<Outgoing> {
         let (body, length) = match &self.body {
             Payload::Whole(body) => (Outgoing::Whole(Full::new(body.clone())), Some(body.len() as u64)),
@@ -162,6 +167,11 @@
 }
 
 impl Attempt {
+    /// It has a connection: its request is being written or is written.
+    pub fn begun(&self) -> bool {
+        self.flight.begun.borrow().is_some()
+    }
+
     /// Closes its connection at once; tells whether it may have run.
     pub fn abort(self) -> bool {
         // The connection first: nothing may be written any more after the look at what is.
--- a/sloeline/tests/common/mod.rs
+++ b/sloeline/tests/common/mod.rs
@@ -41,6 +41,20 @@
 
 /// A message with its body by `Content-Length`; nothing if the peer closed first.
 pub fn read(stream: &mut TcpStream) -> Option<Message> {
+    let mut message = read_head(stream)?;
+    read_body(stream, &mut message)?;
+    Some(message)
+}
+
+/// The rest of a message of which the head has been read.
+pub fn read_body(stream: &mut TcpStream, message: &mut Message) -> Option<()> {
+    let length = message.header("content-length").map_or(0, |l| l.parse().unwrap_or(0));
+    message.body = vec![0; length];
+    stream.read_exact(&mut message.body).ok()
+}
+
+/// A message's head alone.
+pub fn read_head(stream: &mut TcpStream) -> Option<Message> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         let mut byte = [0];
@@ -49,11 +63,7 @@
             _ => return None,
         }
     }
-    let mut message = Message { head: String::from_utf8(head).ok()?, body: Vec::new() };
-    let length = message.header("content-length").map_or(0, |l| l.parse().unwrap_or(0));
-    message.body = vec![0; length];
-    stream.read_exact(&mut message.body).ok()?;
-    Some(message)
+    Some(Message { head: String::from_utf8(head).ok()?, body: Vec::new() })
 }
 
 pub fn answer(stream: &mut TcpStream, status: &str, headers: &str, body: &[u8]) {
@@ -96,6 +106,11 @@
         self.connections.recv_timeout(LONG).expect("a connection")
     }
 
+    /// All connections, from now on.
+    pub fn incoming(self) -> Receiver<TcpStream> {
+        self.connections
+    }
+
     /// Whether no connection has come that was not accepted.
     pub fn quiet(&self) -> bool {
         self.connections.try_recv().is_err()
--- a/sloeline/tests/departed.rs
+++ b/sloeline/tests/departed.rs
@@ -45,13 +45,11 @@
         let gate = Arc::new((Mutex::new(false), Condvar::new()));
         let seen = Arc::new(Mutex::new(Vec::new()));
         let holding = Holding { gate: gate.clone(), seen: seen.clone() };
-        upstream.serve(move |message, stream| {
-            let id = message.header("req-id").unwrap_or("none").to_owned();
-            seen.lock().expect("a lock").push(id);
-            let (open, bell) = &*gate;
-            let open = open.lock().expect("a lock");
-            drop(bell.wait_while(open, |open| !*open).expect("a lock"));
-            ok(stream);
+        std::thread::spawn(move || {
+            for stream in upstream.incoming() {
+                let (gate, seen) = (gate.clone(), seen.clone());
+                std::thread::spawn(move || hold(stream, &gate, &seen));
+            }
         });
         holding
     }
@@ -73,6 +71,19 @@
     }
 }
 
+/// Notes each request by its head alone: one that will never be whole has been sent on too.
+fn hold(mut stream: TcpStream, gate: &(Mutex<bool>, Condvar), seen: &Mutex<Vec<String>>) {
+    while let Some(mut message) = read_head(&mut stream) {
+        seen.lock().expect("a lock").push(message.header("req-id").unwrap_or("none").to_owned());
+        if read_body(&mut stream, &mut message).is_none() {
+            return;
+        }
+        let open = gate.0.lock().expect("a lock");
+        drop(gate.1.wait_while(open, |open| !*open).expect("a lock"));
+        ok(&mut stream);
+    }
+}
+
 fn ask(client: &mut TcpStream, text: &str) {
     client.write_all(text.as_bytes()).expect("it reads");
 }
@@ -154,3 +165,72 @@
         assert_eq!(victims(&upstream.seen(4)), Vec::<&String>::new());
     }
 }
+
+#[test]
+fn nothing_is_sent_for_those_that_left_before_their_connection_was_up() {
+    for how in LEAVINGS {
+        let stalled = Stalled::new();
+        let setup = Setup { connect_timeout_ms: 15_000, ..Setup::knowing(&[stalled.address]) };
+        let balancer = setup.start();
+        let clients: Vec<_> = (0..3)
+            .map(|i| {
+                let mut client = balancer.connect();
+                ask(&mut client, &request("pay", &format!("v-{how:?}-{i}"), ""));
+                client
+            })
+            .collect();
+        barrier(&balancer);
+        // Its connection is begun after theirs and comes up after theirs.
+        let mut stays = balancer.connect();
+        ask(&mut stays, &request("pay", "w-1", ""));
+        barrier(&balancer);
+        let left: Vec<_> = clients.into_iter().map(|client| leave(client, how)).collect();
+        barrier(&balancer);
+        let upstream = Holding::on(stalled.open());
+        upstream.release();
+        assert_eq!(read(&mut stays).expect("an answer").status(), 200);
+        assert_eq!(balancer.ask(&request("look", "w-2", "")).status(), 200);
+        assert_eq!(victims(&upstream.seen(2)), Vec::<&String>::new());
+        drop(left);
+    }
+}
+
+#[test]
+fn nothing_is_sent_for_those_that_left_while_there_was_no_server() {
+    for how in LEAVINGS {
+        let (discovery, upstream) = (Peer::new(), Peer::new());
+        let setup = Setup::knowing(&[upstream.address]);
+        let balancer = Setup { discovery: Some(discovery.address), ..setup }.start();
+        let mut watch = discovery.accept();
+        let mut tell = |generation: u64, entries: &[String]| {
+            read(&mut watch).expect("a call");
+            answer(&mut watch, "200 OK", "", list(generation, true, entries).as_bytes());
+        };
+        // One is turned away by a server that is gone by then, the others come when there is none.
+        let mut again = balancer.connect();
+        ask(&mut again, &request("pay", "v-again", ""));
+        let mut first = upstream.accept();
+        assert_eq!(read(&mut first).expect("an attempt").header("req-id"), Some("v-again"));
+        tell(42, &[]);
+        tell(43, &[]);
+        answer(&mut first, "503 Busy", "Srv-Declined: 1\r\n", b"");
+        let (mut new, mut long) = (balancer.connect(), balancer.connect());
+        ask(&mut new, &request("pay", "v-new", ""));
+        let head = format!("POST /api HTTP/1.1\r\n{}", "Host: b\r\nReq-Id: v-long\r\nReq-Kind: pay\r\n");
+        let part = "x".repeat(100_000);
+        ask(&mut long, &format!("{head}Content-Length: 200000\r\n\r\n{part}"));
+        let mut stays = balancer.connect();
+        ask(&mut stays, &request("pay", "w-1", ""));
+        barrier(&balancer);
+        let left = [again, new, long].map(|client| leave(client, how));
+        barrier(&balancer);
+        let another = Peer::new();
+        tell(44, &[entry("s-9", another.address, "SERVING")]);
+        let another = Holding::on(another);
+        another.release();
+        assert_eq!(read(&mut stays).expect("an answer").status(), 200);
+        assert_eq!(balancer.ask(&request("pay", "w-2", "")).status(), 200);
+        assert_eq!(victims(&another.seen(2)), Vec::<&String>::new(), "{how:?}");
+        drop(left);
+    }
+}
