Call off what waits for a connection to an upstream that takes nothing new any more

Seen: a request whose connection was still coming up when its upstream was told to drain, left the list, moved or was taken out by hand stayed with it to the end of its time (502 after 20 s in the new test on the code before, beside a ready upstream), and its first byte would have gone there when the connection came up. With a connect timeout of a second and a drain grace of 120 or 250 ms that is long after the grace.

Lines at fault: engine.rs `list` and `obey` closed idle connections to what is out and left attempts that have none yet.

Now such an attempt ends with the news and is told as not sent; the module sends it elsewhere. Four kinds of news in tests/discovery.rs, failing on the code before.

--- a/sloeline/src/engine.rs
+++ b/sloeline/src/engine.rs
@@ -50,6 +50,8 @@
 struct Out<O> {
     attempt: u32,
     server: ServerId,
+    /// Nothing if it is not sent at all.
+    to: Option<Target>,
     at: Micros,
     limit: Micros,
     handle: Option<O>,
@@ -306,9 +308,16 @@
         }
         if !entries.is_empty() {
             self.hand(Event::Servers { kind: ListKind::Changes, entries });
+            self.recall_shut();
         }
     }
 
+    /// Ends the attempts without a connection to upstreams that take nothing new any more: their connection may
+    /// come up long after the grace.
+    fn recall_shut(self: &Rc<Self>) {
+        self.recall(|_, out| out.to.is_some_and(|to| !self.tables.borrow().registry.takes(to)), None);
+    }
+
     /// News of the list of upstreams; those that moved or are gone lose their idle connections.
     pub fn list(self: &Rc<Self>, kind: ListKind, listed: Vec<Listed>) {
         self.obey();
@@ -320,6 +329,7 @@
             self.listed.set(true);
         }
         self.hand(Event::Servers { kind, entries });
+        self.recall_shut();
     }
 
     /// Starts the module with no list known. Guards against a module that waits for its first event while
@@ -590,7 +600,7 @@
             let copies = open.out.is_empty() || self.limits.second_copies;
             let may = open.answer.is_some() && copies && attempt < self.limits.max_attempts && limit > 0;
             let may = may && !W::spent(&open.call);
-            open.out.push(Out { attempt, server, at: now, limit, handle: None });
+            open.out.push(Out { attempt, server, to: target, at: now, limit, handle: None });
             (may.then(|| open.call.clone()), attempt, limit, started)
         };
         let (Some(call), Some(target)) = (call, target) else {
--- a/sloeline/src/registry.rs
+++ b/sloeline/src/registry.rs
@@ -101,6 +101,12 @@
         place.map(|p| Target { server, address: p.listed.address })
     }
 
+    /// Whether something new may still go to an upstream at that address.
+    pub fn takes(&self, to: Target) -> bool {
+        let ready = self.places.get(&to.server).is_some_and(|p| p.listed.state == ServerState::Ready);
+        ready && self.target(to.server) == Some(to)
+    }
+
     /// Whether a list has named the upstream, be it long ago.
     pub fn knows(&self, name: &str) -> bool {
         let ordered = self.orders.out.contains(name) || self.orders.back.contains_key(name);
--- a/sloeline/tests/discovery.rs
+++ b/sloeline/tests/discovery.rs
@@ -131,3 +131,35 @@
     assert!(closed(&mut last), "a connection to what is not listed");
     let _served = serve(&old, "r-5");
 }
+
+#[test]
+fn nothing_waits_for_a_connection_to_one_that_takes_nothing_new() {
+    // It drains, is gone, has another address, or is out by hand: each told while its connection comes up.
+    for news in ["DRAINING", "DELETED", "SERVING", "by hand"] {
+        let (discovery, upstream, stalled) = (Peer::new(), Peer::new(), Stalled::new());
+        let address = upstream.address;
+        let _requests = upstream.serve(|_, stream| ok(stream));
+        let setup = Setup::knowing(&[stalled.address]);
+        // No connection fails in time to go elsewhere for that reason.
+        let setup = Setup { connect_timeout_ms: 60_000, discovery: Some(discovery.address), ..setup };
+        let balancer = Setup { management: Some("127.0.0.1:0"), ..setup }.start();
+        let mut client = balancer.connect();
+        client.write_all(request("pay", "r-1", "").as_bytes()).expect("it reads");
+        balancer.ask(READY);
+        let mut watch = discovery.accept();
+        read(&mut watch).expect("a call");
+        let moved = entry("s-0", address, "SERVING");
+        let other = entry("s-1", address, "SERVING");
+        let changes = match news {
+            "SERVING" => vec![moved],
+            "by hand" => vec![other],
+            _ => vec![entry("s-0", stalled.address, news), other],
+        };
+        answer(&mut watch, "200 OK", "", list(42, false, &changes).as_bytes());
+        if news == "by hand" {
+            read(&mut watch).expect("the next call");
+            assert_eq!(balancer.call("POST", "/api/exclude/s-0"), 200);
+        }
+        assert_eq!(read(&mut client).expect("an answer").status(), 200, "{news}");
+    }
+}
