Keep every span between two looks at discovery within the grace of a drain

Lines at fault: the constants SHORTEST_WAIT, AGAIN, MOST_PAUSE and PATIENCE of discovery.rs.

Now wait, patience and pauses are parts of the grace within bounds; a call fails after a silence, not because a long list takes its time. With a grace of 2.5 s a watch waits as before (1 s and 0.5 s). The unit test holds the sums against the grace; with the former bounds it fails.

--- a/sloeline/src/discovery.rs
+++ b/sloeline/src/discovery.rs
@@ -5,12 +5,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use finchshift::{ListKind, ServerState};
 use finchshift_wirehost::setup::{micros, one};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Request, StatusCode, header::HOST};
+use hyper::{Request, Response, StatusCode, body::Incoming, header::HOST};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use tokio::net::TcpStream;
@@ -19,23 +19,22 @@
 
 use crate::wire::Listed;
 
-/// How long a watch may wait for news at the most ...
-const LONGEST_WAIT: Duration = Duration::from_secs(20);
-/// ... and at the least: each round costs a call.
-const SHORTEST_WAIT: Duration = Duration::from_millis(200);
-/// What a watch may wait of the span within which the news of a drain must be heeded: one that has fallen
-/// silent looks like one without news until its wait is over.
+/// What the agent on the same machine has counts as told, whether it is asked or not: all spans between two looks
+/// are parts of the one within which the news of a drain must be heeded. How long a watch waits for news: one that
+/// has fallen silent looks like one without news until then.
 const WAIT: f64 = 0.4;
-/// A call without a wait that takes longer counts as failed.
-const PATIENCE: Duration = Duration::from_secs(6);
-/// The same for a watch, after its wait: what discovery had to tell counts as told from then on at the latest.
-const WATCH_PATIENCE: Duration = Duration::from_secs(2);
-/// No longer than this part of the wait: an agent on the same machine has answered by then.
-const WATCH_PATIENCE_PART: f64 = 0.5;
-/// Pause before the first call at a new address is made again; it doubles each time.
-const AGAIN: Duration = Duration::from_millis(100);
-/// Longest pause before a watch that goes on by itself is begun anew.
-const MOST_PAUSE: Duration = Duration::from_millis(800);
+/// How much longer, or else how long a call may stay silent: an agent on the same machine has answered by then.
+const PATIENCE: f64 = 0.2;
+/// Pause after the first failed call, and the longest: it doubles each time.
+const AGAIN: f64 = 0.04;
+const MOST_PAUSE: f64 = 0.3;
+/// Bounds on each: a round costs a call, and silence counts as told after 6 s (2 s after a call's wait) anyway.
+const WAITS: (Duration, Duration) = (Duration::from_millis(40), Duration::from_secs(20));
+const PATIENCES: (Duration, Duration) = (Duration::from_millis(40), Duration::from_millis(1800));
+const AGAINS: (Duration, Duration) = (Duration::from_millis(4), Duration::from_millis(100));
+const MOST_PAUSES: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(800));
+/// A whole list may take this long while it comes.
+const LIST_TIME: Duration = Duration::from_secs(6);
 /// How often the first call at a new address is made again before the module is told.
 const TIMES_AGAIN: u32 = 4;
 /// Most of a list's text.
@@ -107,6 +106,28 @@
     }
 }
 
+/// The spans between two looks at what discovery has to tell.
+#[derive(Clone, Copy, Debug)]
+struct Clocks {
+    wait: Duration,
+    patience: Duration,
+    again: Duration,
+    most_pause: Duration,
+}
+
+impl Clocks {
+    /// Such that the news of a drain is heeded within its grace.
+    fn within(drain_grace: Duration) -> Clocks {
+        let part = |part, (least, most)| drain_grace.mul_f64(part).clamp(least, most);
+        Clocks {
+            wait: part(WAIT, WAITS),
+            patience: part(PATIENCE, PATIENCES),
+            again: part(AGAIN, AGAINS),
+            most_pause: part(MOST_PAUSE, MOST_PAUSES),
+        }
+    }
+}
+
 /// A connection to discovery, kept between calls.
 struct Line {
     sender: SendRequest<Empty<Bytes>>,
@@ -128,8 +149,7 @@
     generation: Cell<Option<u64>>,
     /// Changes are to arrive unasked: a watch that failed is begun anew here and not left to the module.
     unasked: bool,
-    /// How long a watch waits for news.
-    wait: Duration,
+    clocks: Clocks,
     watch: RefCell<Option<AbortHandle>>,
 }
 
@@ -143,9 +163,9 @@
         drain_grace: Duration,
     ) -> Rc<Discovery> {
         let (address, generation) = (Cell::new(address), Cell::new(generation));
-        let wait = drain_grace.mul_f64(WAIT).clamp(SHORTEST_WAIT, LONGEST_WAIT);
+        let clocks = Clocks::within(drain_grace);
         let (moves, watch) = (Cell::new(0), RefCell::default());
-        Rc::new(Discovery { address, moves, generation, unasked, wait, watch })
+        Rc::new(Discovery { address, moves, generation, unasked, clocks, watch })
     }
 
     /// Leaves the present address, its watch and its line: the new one is asked for the whole list at once and
@@ -169,27 +189,27 @@
     fn start(self: &Rc<Self>, mut again: u32, tell: impl Fn(ListKind, Vec<Listed>) + 'static) {
         let this = self.clone();
         let task = spawn_local(async move {
-            let (mut line, mut pause) = (None, AGAIN);
+            let Clocks { wait, patience, again: first_pause, most_pause } = this.clocks;
+            let (mut line, mut pause) = (None, first_pause);
             loop {
                 let (path, patience) = match this.generation.get() {
-                    None => ("/registry/instances".to_owned(), PATIENCE),
-                    Some(g) => (
-                        format!("/registry/instances?index={g}&wait={}", this.wait.as_millis()),
-                        this.wait + this.wait.mul_f64(WATCH_PATIENCE_PART).min(WATCH_PATIENCE),
-                    ),
+                    None => ("/registry/instances".to_owned(), patience),
+                    Some(g) => {
+                        (format!("/registry/instances?index={g}&wait={}", wait.as_millis()), wait + patience)
+                    }
                 };
                 match this.call(&mut line, &path, patience).await {
                     Ok(list) => {
                         let whole = list.reset || this.generation.get().is_none();
                         this.generation.set(Some(list.generation));
-                        (again, pause) = (0, AGAIN);
+                        (again, pause) = (0, first_pause);
                         tell(if whole { ListKind::Complete } else { ListKind::Changes }, list.entries());
                     }
                     Err(why) if again > 0 || this.unasked => {
                         eprintln!("discovery: {} does not answer: {why}", this.address.get());
                         again = again.saturating_sub(1);
                         sleep(pause).await;
-                        pause = (2 * pause).min(MOST_PAUSE);
+                        pause = (2 * pause).min(most_pause);
                     }
                     Err(why) => {
                         eprintln!("discovery: the watch ended: {why}");
@@ -208,7 +228,7 @@
         let this = self.clone();
         spawn_local(async move {
             let (before, moves) = (this.generation.get(), this.moves.get());
-            let called = this.call(&mut None, "/registry/instances", PATIENCE).await;
+            let called = this.call(&mut None, "/registry/instances", this.clocks.patience).await;
             // Guards against the list of an address that was left in the meantime.
             if this.moves.get() != moves {
                 return;
@@ -230,15 +250,31 @@
         });
     }
 
+    /// One call; it fails once nothing has come for as long as `patience`, or when all of it takes too long.
     async fn call(&self, line: &mut Option<Line>, path: &str, patience: Duration) -> Result<List, String> {
-        let called = timeout(patience, self.ask(line, path)).await.unwrap_or_else(|_| Err("silence".into()));
+        let called = timeout(patience + LIST_TIME, self.ask(line, path, patience)).await;
+        let called = called.unwrap_or_else(|_| Err("its list does not end".into()));
         if called.is_err() {
             *line = None;
         }
         called
     }
 
-    async fn ask(&self, line: &mut Option<Line>, path: &str) -> Result<List, String> {
+    async fn ask(&self, line: &mut Option<Line>, path: &str, patience: Duration) -> Result<List, String> {
+        let silence = |_| "silence".to_owned();
+        let response = timeout(patience, self.begin(line, path)).await.map_err(silence)??;
+        if response.status() != StatusCode::OK {
+            return Err(format!("status {}", response.status()));
+        }
+        let (mut body, mut text) = (Limited::new(response.into_body(), MOST_LIST), BytesMut::new());
+        while let Some(frame) = timeout(patience, body.frame()).await.map_err(silence)? {
+            text.extend_from_slice(frame.map_err(|e| e.to_string())?.data_ref().unwrap_or(&Bytes::new()));
+        }
+        serde_json::from_slice(&text).map_err(|e| e.to_string())
+    }
+
+    /// Sends a call and waits for the head of its answer.
+    async fn begin(&self, line: &mut Option<Line>, path: &str) -> Result<Response<Incoming>, String> {
         let ready = match line {
             Some(line) => line.sender.ready().await.is_ok(),
             None => false,
@@ -257,12 +293,24 @@
         let Some(line) = line else { return Err("no connection".into()) };
         let request = Request::get(path).header(HOST, self.address.get().to_string()).body(Empty::new());
         let request = request.map_err(|e| e.to_string())?;
-        let response = line.sender.send_request(request).await.map_err(|e| e.to_string())?;
-        if response.status() != StatusCode::OK {
-            return Err(format!("status {}", response.status()));
+        line.sender.send_request(request).await.map_err(|e| e.to_string())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn whatever_fails_the_next_look_comes_within_the_grace_of_a_drain() {
+        for ms in [120, 250, 1_000, 2_500, 10_000, 90_000] {
+            let grace = Duration::from_millis(ms);
+            let Clocks { wait, patience, again, most_pause } = Clocks::within(grace);
+            // Silence to the end of a watch, and then a pause; or calls that fail at once, one after the other.
+            assert!(wait + patience + again < grace, "{ms} ms");
+            assert!(patience + most_pause < grace, "{ms} ms");
+            // What a silent watch misses counts as told then.
+            assert!(wait + patience + again <= (wait + Duration::from_secs(2)).max(Duration::from_secs(6)));
         }
-        let body = Limited::new(response.into_body(), MOST_LIST).collect().await;
-        let body = body.map_err(|e| e.to_string())?.to_bytes();
-        serde_json::from_slice(&body).map_err(|e| e.to_string())
     }
 }
