Read each entry of a list by itself, and send nothing new to one that cannot be read

Seen: one entry with an unknown lifecycle or a missing field made the whole list unreadable: the call counted as failed, was made again at once and failed again, so that no news came any more (new test on the code before: the next call still asks for version 41). An address that cannot be read was passed over, in changes too: the upstream stayed in use as it was.

Line at fault: discovery.rs, the entries were read as one typed vector.

Now an entry that names an upstream and cannot be read otherwise counts as draining and is logged.

--- a/sloeline/src/discovery.rs
+++ b/sloeline/src/discovery.rs
@@ -49,13 +49,21 @@
     #[serde(default)]
     pub reset: bool,
     /// Its entries.
-    pub instances: Vec<Instance>,
+    instances: Vec<Entry>,
+}
+
+/// An entry, as far as it can be read: one that cannot takes no others with it.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Entry {
+    Read(Instance),
+    Unread(serde_json::Value),
 }
 
 /// An entry as discovery sends it.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-pub struct Instance {
+struct Instance {
     instance_id: String,
     host_port: String,
     zone: String,
@@ -79,12 +87,35 @@
 }
 
 impl List {
-    /// The entries for the engine; one whose address cannot be read is logged and passed over.
+    /// The entries for the engine. One that cannot be read is logged; where it names an upstream, nothing new is
+    /// to go there: that is all which is safe to make of it.
     pub fn entries(self) -> Vec<Listed> {
-        let entry = |i: Instance| {
+        let unread = |name: &str, what: &dyn std::fmt::Display| {
+            eprintln!("discovery: the entry of {name:?} cannot be read and takes nothing new: {what}");
+            Listed {
+                instance: name.to_owned(),
+                address: SocketAddr::from(([0, 0, 0, 0], 0)),
+                zone: String::new(),
+                kind: String::new(),
+                cell: 0,
+                state: ServerState::Draining,
+                weight: 1.0,
+                started: None,
+            }
+        };
+        let entry = |entry: Entry| {
+            let i = match entry {
+                Entry::Read(i) => i,
+                Entry::Unread(value) => {
+                    let Some(name) = value.get("instanceId").and_then(|name| name.as_str()) else {
+                        eprintln!("discovery: an entry that names no upstream is passed over: {value}");
+                        return None;
+                    };
+                    return Some(unread(name, &value));
+                }
+            };
             let Ok(address) = i.host_port.parse() else {
-                eprintln!("discovery: {} has no readable address: {:?}", i.instance_id, i.host_port);
-                return None;
+                return Some(unread(&i.instance_id, &i.host_port));
             };
             Some(Listed {
                 address,
--- a/sloeline/tests/discovery.rs
+++ b/sloeline/tests/discovery.rs
@@ -163,3 +163,34 @@
         assert_eq!(read(&mut client).expect("an answer").status(), 200, "{news}");
     }
 }
+
+#[test]
+fn an_entry_that_cannot_be_read_takes_no_others_with_it_and_gets_nothing_new() {
+    let (discovery, upstream) = (Peer::new(), Peer::new());
+    let first = Peer::new();
+    let setup = Setup::knowing(&[first.address]);
+    let balancer = Setup { discovery: Some(discovery.address), ..setup }.start();
+    let good = entry("s-9", upstream.address, "SERVING");
+    let _requests = upstream.serve(|_, stream| ok(stream));
+    let mut watch = discovery.accept();
+    // Indented, as lists may come.
+    let bad = entry("s-0", first.address, "RESTING").replace(',', ",\n  ");
+    let lost = r#"{"instanceId":"s-7","zone":"a","lifecycle":"SERVING"}"#.to_owned();
+    for (generation, reset, entries) in [
+        (42, false, vec![bad, good.clone()]),
+        (
+            43,
+            true,
+            vec![lost, "7".to_owned(), entry("s-8", first.address, "SERVING").replace("127", "x"), good],
+        ),
+    ] {
+        let call = read(&mut watch).expect("a call");
+        assert!(call.first_line().contains(&format!("index={}&", generation - 1)), "{}", call.first_line());
+        answer(&mut watch, "200 OK", "", list(generation, reset, &entries).as_bytes());
+    }
+    read(&mut watch).expect("the next call");
+    for i in 0..20 {
+        assert_eq!(balancer.ask(&request("pay", &format!("r-{i}"), "")).status(), 200);
+    }
+    assert!(first.quiet(), "it was asked though its entry could not be read");
+}
