Ask for the whole list when changes lead to an older version than the one held

Seen: an answer with changes and a version under the one held was applied, and the watch went on from there (new test on the code before: the next call asks from version 40 after 41). What drained in between could be listed as serving again until the next change. Line at fault: discovery.rs took every version as the newest. A whole list counts whatever its version: a discovery that begins anew has low numbers.

--- a/sloeline/src/discovery.rs
+++ b/sloeline/src/discovery.rs
@@ -230,6 +230,14 @@
                     }
                 };
                 match this.call(&mut line, &path, patience).await {
+                    // Changes on the way to a list that is older than the one held: which they lead to nobody knows.
+                    Ok(list) if !list.reset && this.generation.get().is_some_and(|g| list.generation < g) => {
+                        eprintln!(
+                            "discovery: version {} after a newer one; the whole list is asked for",
+                            list.generation
+                        );
+                        this.generation.set(None);
+                    }
                     Ok(list) => {
                         let whole = list.reset || this.generation.get().is_none();
                         this.generation.set(Some(list.generation));
--- a/sloeline/tests/discovery.rs
+++ b/sloeline/tests/discovery.rs
@@ -194,3 +194,16 @@
     }
     assert!(first.quiet(), "it was asked though its entry could not be read");
 }
+
+#[test]
+fn changes_that_lead_to_an_older_version_are_followed_by_the_whole_list() {
+    let (discovery, upstream) = (Peer::new(), Peer::new());
+    let _balancer = asking(&discovery, &upstream);
+    let mut line = discovery.accept();
+    assert!(read(&mut line).expect("a call").first_line().contains("index=41&"));
+    answer(&mut line, "200 OK", "", list(40, false, &[]).as_bytes());
+    assert_eq!(read(&mut line).expect("a call").first_line(), "GET /registry/instances HTTP/1.1");
+    // What discovery holds counts, be its versions what they are.
+    answer(&mut line, "200 OK", "", list(7, true, &[]).as_bytes());
+    assert!(read(&mut line).expect("a call").first_line().contains("index=7&"));
+}
