Close no connection on a request that has come and is not read: stop, idle time, eviction

Seen with the program frozen at the wrong moment (new tests on the code before): when the listener closed in a stop, requests on connections that the system had let in and the program had not were reset; requests unread on kept connections were closed on without an answer; a connection whose two idle seconds ended was closed on a request that had come just before. A request half come was cut off 0.2 s after the listener closed.

Lines at fault: server.rs dropped the listener with its queue, and hyper's graceful_shutdown ends an idle connection without a look at the socket; gate.rs closed the longest idle connection likewise.

Now the queue is emptied before the listener closes (without a place it is told 503 at once), and the kernel is asked before an idle connection is closed for whatever reason. A half request has until the last answers are given. The time of the order is kept where the order comes in, not where the accept loop happens to see it.

--- a/sloeline/src/gate.rs
+++ b/sloeline/src/gate.rs
@@ -4,6 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io::{self, Read as _};
+use std::mem::MaybeUninit;
 use std::pin::{Pin, pin};
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, Waker, ready};
@@ -67,11 +68,18 @@
 /// longest first.
 #[derive(Default)]
 pub struct Crowd {
-    idle: RefCell<BTreeMap<u64, (Instant, AbortHandle)>>,
-    halfway: RefCell<BTreeMap<u64, (Instant, AbortHandle)>>,
+    idle: RefCell<BTreeMap<u64, Spare>>,
+    halfway: RefCell<BTreeMap<u64, Spare>>,
     next: Cell<u64>,
 }
 
+/// A connection that may be closed for others, and since when it may.
+struct Spare {
+    since: Instant,
+    task: AbortHandle,
+    inbound: Weak<RefCell<Inbound>>,
+}
+
 impl Crowd {
     /// Closes the connection that has been idle longest, or else longest in the middle of a head; else, when one
     /// may be. Guards those that have just come, whose request is on its way.
@@ -79,10 +87,13 @@
         let mut ripe: Option<Instant> = None;
         for (list, spared) in [(&self.idle, SPARED), (&self.halfway, HALFWAY_SPARED)] {
             let mut list = list.borrow_mut();
-            let Some(oldest) = list.first_entry() else { continue };
-            let at = oldest.get().0 + spared;
-            if at <= Instant::now() {
-                oldest.remove().1.abort();
+            let Some(at) = list.values().next().map(|spare| spare.since + spared) else { continue };
+            // Guards a request that has come and was not read yet: it would be reset with its connection.
+            let unread = |s: &Spare| s.inbound.upgrade().is_some_and(|inbound| inbound.borrow().waits());
+            let free = list.iter().take_while(|(_, s)| s.since + spared <= Instant::now());
+            let free = free.filter(|(_, s)| spared > SPARED || !unread(s)).map(|(&place, _)| place).next();
+            if let Some(spare) = free.and_then(|place| list.remove(&place)) {
+                spare.task.abort();
                 return Ok(());
             }
             ripe = Some(ripe.map_or(at, |other| other.min(at)));
@@ -91,7 +102,7 @@
     }
 
     /// The list that connections at this are in.
-    fn list(&self, stage: Stage) -> Option<&RefCell<BTreeMap<u64, (Instant, AbortHandle)>>> {
+    fn list(&self, stage: Stage) -> Option<&RefCell<BTreeMap<u64, Spare>>> {
         match stage {
             Stage::Idle => Some(&self.idle),
             Stage::Head => Some(&self.halfway),
@@ -181,7 +192,8 @@
         if let (Some(list), Some(task)) = (self.crowd.list(stage), &*self.task.borrow()) {
             let place = self.crowd.next.get();
             self.crowd.next.set(place + 1);
-            list.borrow_mut().insert(place, (now, task.clone()));
+            let (task, inbound) = (task.clone(), self.inbound.clone());
+            list.borrow_mut().insert(place, Spare { since: now, task, inbound });
             self.place.set(Some(place));
         }
     }
@@ -392,6 +404,13 @@
         self.ended || matches!(looked, Poll::Ready(Ok(ready)) if ready.is_read_closed())
     }
 
+    /// Something has come that was not passed on. Asks the kernel: the runtime may not have looked since, and a
+    /// socket that is closed with something unread takes a request with it.
+    pub fn waits(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        !self.held.is_empty() || SockRef::from(&self.stream).peek(&mut byte).is_ok_and(|n| n > 0)
+    }
+
     /// The socket, when hyper is done with it.
     pub fn into_stream(self) -> TcpStream {
         self.stream
--- a/sloeline/src/server.rs
+++ b/sloeline/src/server.rs
@@ -5,7 +5,7 @@
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::io;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
@@ -21,7 +21,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::engine::Engine;
@@ -96,12 +96,15 @@
     book: Rc<Book>,
     /// Another process of this balancer lives.
     accompanied: Cell<bool>,
+    /// When the order to stop came.
+    ordered: Cell<Option<Instant>>,
 }
 
 impl Life {
     /// Just begun.
     pub fn new(book: Rc<Book>) -> Rc<Life> {
-        let life = Life { phases: watch::Sender::new(Phase::Running), book, accompanied: Cell::default() };
+        let (phases, accompanied) = (watch::Sender::new(Phase::Running), Cell::default());
+        let life = Life { phases, book, accompanied, ordered: Cell::default() };
         life.follow();
         Rc::new(life)
     }
@@ -136,6 +139,8 @@
     pub fn stop(&self) {
         self.phases.send_if_modified(|phase| {
             !phase.ends() && {
+                eprintln!("sloeline: told to stop");
+                self.ordered.set(Some(Instant::now()));
                 *phase = Phase::Stopping;
                 true
             }
@@ -190,9 +195,7 @@
     bodies: Rc<Gauge>,
     /// The ids of the requests that are open.
     ids: RefCell<HashSet<HeaderValue>>,
-    /// When the order to stop came.
-    ordered: Cell<Option<Instant>>,
-    /// How long after it the last answer is given.
+    /// How long after the order to stop the last answer is given.
     leave_within: Duration,
     life: Rc<Life>,
 }
@@ -211,7 +214,7 @@
         let classes = classes.into_iter().enumerate().map(|(i, (name, class))| (name, (i, class))).collect();
         let tenants = tenants.into_iter().enumerate().map(|(i, name)| (name, i)).collect();
         let (places, bodies) = (Gauge::new(room.places), Gauge::new(room.bodies));
-        let (crowd, ids, ordered) = (Rc::default(), RefCell::default(), Cell::default());
+        let (crowd, ids) = (Rc::default(), RefCell::default());
         let (beyond, full) = (Gauge::new(BEYOND), Cell::default());
         Rc::new(Server {
             engine,
@@ -223,7 +226,6 @@
             crowd,
             bodies,
             ids,
-            ordered,
             leave_within,
             life,
         })
@@ -240,31 +242,18 @@
     /// all are closed.
     pub async fn serve(self: Rc<Self>, door: Door) {
         let mut phase = self.life.phases.subscribe();
-        let mut stop_at = None;
+        let taken_for = match door.shared {
+            true => Duration::ZERO,
+            false => self.leave_within.mul_f64(STILL_TAKEN),
+        };
+        let mut end = pin!(async {
+            let _ = phase.wait_for(|p| p.ends()).await;
+            sleep_until(self.life.ordered.get().unwrap_or_else(Instant::now) + taken_for).await;
+        });
         loop {
-            let end = async {
-                match stop_at {
-                    Some(at) => sleep_until(at).await,
-                    None => {
-                        let _ = phase.wait_for(|p| p.ends()).await;
-                    }
-                }
-            };
             let accepted = tokio::select! {
                 biased;
-                () = end => match stop_at {
-                    Some(_) => break,
-                    None => {
-                        eprintln!("sloeline: told to stop");
-                        let now = Instant::now();
-                        self.ordered.set(Some(now));
-                        if door.shared {
-                            break;
-                        }
-                        stop_at = Some(now + self.leave_within.mul_f64(STILL_TAKEN));
-                        continue;
-                    }
-                },
+                () = &mut end => break,
                 accepted = door.listener.accept() => accepted,
             };
             let Ok((stream, _)) = accepted else {
@@ -272,23 +261,47 @@
                 sleep(NO_SOCKET_PAUSE).await;
                 continue;
             };
-            // Guards what was accepted against the order to stop: it is this process's to serve.
-            let place = tokio::select! {
-                place = self.place() => place,
-                _ = phase.wait_for(|p| p.ends()), if door.shared => {
-                    Place { _taken: self.places.squeeze(1), beyond: false }
+            tokio::select! {
+                place = self.place() => self.welcome(stream, place),
+                // Guards what was accepted against the order to stop: it is this process's to serve.
+                () = &mut end => {
+                    self.welcome(stream, self.last_place(door.shared));
+                    break;
                 }
-            };
-            let _ = stream.set_nodelay(true);
-            let inbound = Inbound::new(stream);
-            let progress = Progress::new(self.crowd.clone(), &inbound);
-            let task = spawn_local(self.clone().connection(inbound, place, progress.clone()));
-            progress.of(task.abort_handle());
+            }
+        }
+        // Closed here; another process that holds it goes on accepting. Where none does, what the system has let
+        // in is this process's to answer: closed with its listener, it would be reset, and its request lost.
+        if door.shared {
+            drop(door.listener);
+        } else if let Ok(listener) = door.listener.into_std() {
+            while let Ok((stream, _)) = listener.accept() {
+                if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
+                    self.welcome(stream, self.last_place(false));
+                }
+            }
         }
-        // Closed here; another process that holds it goes on accepting.
-        drop(door.listener);
         self.life.phases.send_replace(if door.shared { Phase::Leaving } else { Phase::Closing });
         self.places.empty().await;
+        self.beyond.empty().await;
+    }
+
+    /// Serves a connection that has a place.
+    fn welcome(self: &Rc<Self>, stream: TcpStream, place: Place) {
+        let _ = stream.set_nodelay(true);
+        let inbound = Inbound::new(stream);
+        let progress = Progress::new(self.crowd.clone(), &inbound);
+        let task = spawn_local(self.clone().connection(inbound, place, progress.clone()));
+        progress.of(task.abort_handle());
+    }
+
+    /// A place for one that has come before the stop: where there is none, it hears so at once, unless what it
+    /// asks was promised an answer by the process that takes over.
+    fn last_place(&self, shared: bool) -> Place {
+        match self.places.take(1) {
+            Some(taken) => Place { _taken: taken, beyond: false },
+            None => Place { _taken: self.places.squeeze(1), beyond: !shared },
+        }
     }
 
     /// A place for a new connection. Guards against those that say nothing and leave none: the one that has
@@ -320,11 +333,9 @@
     }
 
     async fn connection(self: Rc<Self>, inbound: Rc<RefCell<Inbound>>, place: Place, progress: Rc<Progress>) {
-        let used = Rc::new(Cell::new(false));
         let service = hyper::service::service_fn({
-            let (server, used, progress) = (self.clone(), used.clone(), progress.clone());
+            let (server, progress) = (self.clone(), progress.clone());
             move |request| {
-                used.set(true);
                 let (server, progress) = (server.clone(), progress.clone());
                 let beyond = place.beyond;
                 Box::pin(async move { Ok::<_, Infallible>(server.respond(request, &progress, beyond).await) })
@@ -339,16 +350,30 @@
             let now = *phase.borrow_and_update();
             // Not before: callers that find their connections closed may have no other balancer yet.
             let idle_time = if now.parts() { QUICK_IDLE } else { IDLE_TIME };
-            if now == Phase::Closing {
+            // Hyper closes an idle connection at once, be a request unread on it or half come.
+            let crossed = match progress.stage() {
+                Stage::Idle => inbound.borrow().waits(),
+                Stage::Head => true,
+                Stage::Body | Stage::Open => false,
+            };
+            if now == Phase::Closing && !crossed {
                 Pin::new(&mut connection).graceful_shutdown();
             }
+            let closing_at = Instant::now();
             // The connection until it ends, or until it has been at one thing for too long.
             let served = poll_fn(|cx| {
                 // Nobody waits for what is open; hyper looks only where it expects more. Dropped, it is told so.
                 if connection.poll_without_shutdown(cx).is_ready() || progress.poll_left(cx).is_ready() {
                     return Poll::Ready(false);
                 }
-                let Some(due) = progress.due(idle_time) else { return Poll::Pending };
+                let Some(mut due) = progress.due(idle_time) else { return Poll::Pending };
+                if now == Phase::Closing {
+                    // Guards the stop against callers that say nothing or never end their request.
+                    due = due.min(match progress.stage() {
+                        Stage::Idle => closing_at + NOTHING_YET,
+                        _ => self.life.ordered.get().unwrap_or(closing_at) + self.leave_within,
+                    });
+                }
                 if late.deadline() != due {
                     late.as_mut().reset(due);
                 }
@@ -356,13 +381,14 @@
             });
             let too_late = tokio::select! {
                 too_late = served => too_late,
-                // Guards the stop against a caller that never ends its first request.
-                () = sleep(NOTHING_YET), if now == Phase::Closing && !used.get() => {
-                    if used.get() { continue } else { return }
-                }
                 changed = phase.changed() => if changed.is_err() { return } else { continue },
             };
-            let error = match (progress.fault(), too_late, progress.stage()) {
+            if too_late && progress.stage() == Stage::Idle && inbound.borrow().waits() {
+                // The runtime has not looked yet: what has come is read before the connection may be closed.
+                yield_now().await;
+                continue;
+            }
+            let error = match (progress.fault(), too_late && now != Phase::Closing, progress.stage()) {
                 (Some(Fault::Bad), ..) => Some("400 Bad Request"),
                 (Some(Fault::TooLarge), ..) => Some("431 Request Header Fields Too Large"),
                 (None, true, Stage::Head | Stage::Body) => Some("408 Request Timeout"),
@@ -531,7 +557,7 @@
         let safe = class.effect == Effect::Safe;
         // Guards against the kill: what is taken late is answered before it can come.
         let until_kill =
-            self.ordered.get().filter(|at| at.elapsed() > UNHURRIED).map_or(Micros::MAX, |at| {
+            self.life.ordered.get().filter(|at| at.elapsed() > UNHURRIED).map_or(Micros::MAX, |at| {
                 self.leave_within.saturating_sub(at.elapsed()).as_micros() as Micros
             });
         let (class, time_left) = (*id, time_left.min(class.deadline).min(until_kill));
--- a/sloeline/tests/common/mod.rs
+++ b/sloeline/tests/common/mod.rs
@@ -444,7 +444,7 @@
         self.signal("-HUP");
     }
 
-    fn signal(&self, name: &str) {
+    pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         let sent = Command::new("kill").args([name, &id]).status().expect("kill runs");
         assert!(sent.success());
--- a/sloeline/tests/life.rs
+++ b/sloeline/tests/life.rs
@@ -158,3 +158,60 @@
     assert!(closed(&mut half));
     assert!(balancer.child.wait().expect("it ends").success());
 }
+
+/// Stops the program for as long as the test runs: what comes meanwhile is the system's alone.
+fn frozen(balancer: &Balancer, meanwhile: impl FnOnce()) {
+    balancer.signal("-STOP");
+    meanwhile();
+    balancer.signal("-CONT");
+}
+
+#[test]
+fn what_was_let_in_before_the_listener_closed_gets_its_answer() {
+    let upstream = Peer::new();
+    let mut balancer = Setup::knowing(&[upstream.address]).start();
+    let _requests = upstream.serve(|_, stream| ok(stream));
+    // One kept since an earlier request, one that has carried none, one in the middle of a head, and new ones.
+    let mut kept = balancer.connect();
+    assert_eq!(exchange(&mut kept, READY).status(), 200);
+    let unused = balancer.connect();
+    let mut half = balancer.connect();
+    let text = |id: &str| request("pay", id, "");
+    let (first, rest) = (text("r-half")[..40].to_owned(), text("r-half")[40..].to_owned());
+    half.write_all(first.as_bytes()).expect("it reads");
+    assert_eq!(balancer.ask(READY).status(), 200);
+    balancer.terminate();
+    balancer.logged("told to stop");
+    let order = Instant::now();
+    let mut clients = vec![kept, unused];
+    frozen(&balancer, || {
+        clients.extend((0..5).map(|_| balancer.connect()));
+        for (i, client) in clients.iter_mut().enumerate() {
+            client.write_all(text(&format!("r-{i}")).as_bytes()).expect("it is connected");
+        }
+        // The listener's time is over when it goes on: 0.37 of 3.5 s.
+        std::thread::sleep(Duration::from_millis(1400).saturating_sub(order.elapsed()));
+    });
+    for (i, client) in clients.iter_mut().enumerate() {
+        assert_eq!(read(client).unwrap_or_else(|| panic!("no answer to r-{i}")).status(), 200);
+        assert!(closed(client), "it stays when no more are taken");
+    }
+    half.write_all(rest.as_bytes()).expect("it is connected");
+    assert_eq!(read(&mut half).expect("an answer to what came in halves").status(), 200);
+    assert!(balancer.child.wait().expect("it ends").success());
+}
+
+#[test]
+fn an_idle_connection_is_not_closed_on_a_request_that_has_come() {
+    // Kept for two seconds: it freezes past that, and its request comes meanwhile.
+    let upstream = Peer::new();
+    let balancer = Setup::knowing(&[upstream.address]).start();
+    let _requests = upstream.serve(|_, stream| ok(stream));
+    let mut kept = balancer.connect();
+    assert_eq!(exchange(&mut kept, READY).status(), 200);
+    frozen(&balancer, || {
+        kept.write_all(request("pay", "r-1", "").as_bytes()).expect("it is connected");
+        std::thread::sleep(Duration::from_millis(2100));
+    });
+    assert_eq!(read(&mut kept).expect("an answer").status(), 200);
+}
