--- a/sloeline/src/server.rs
+++ b/sloeline/src/server.rs
@@ -141,7 +141,6 @@
     pub fn stop(&self) {
         self.phases.send_if_modified(|phase| {
             !phase.ends() && {
-                eprintln!("sloeline: told to stop");
                 self.ordered.set(Some(Instant::now()));
                 *phase = Phase::Stopping;
                 true
@@ -244,13 +243,13 @@
     /// all are closed.
     pub async fn serve(self: Rc<Self>, door: Door) {
         let mut phase = self.life.phases.subscribe();
-        let taken_for = match door.shared {
-            true => Duration::ZERO,
-            false => self.leave_within.mul_f64(STILL_TAKEN).max(LEAST_TAKEN).min(self.leave_within),
-        };
+        let taken_for = self.leave_within.mul_f64(STILL_TAKEN).max(LEAST_TAKEN).min(self.leave_within);
         let mut end = pin!(async {
             let _ = phase.wait_for(|p| p.ends()).await;
-            sleep_until(self.life.ordered.get().unwrap_or_else(Instant::now) + taken_for).await;
+            eprintln!("sloeline: told to stop");
+            if !door.shared {
+                sleep_until(self.life.ordered.get().unwrap_or_else(Instant::now) + taken_for).await;
+            }
         });
         loop {
             let accepted = tokio::select! {
