Take a connection that has rested before one that answered a moment ago

So only what costs nothing is done: of several idle connections the one used last that has been idle for 20 ms is taken. Tried and not kept: not using a connection at all for 20 ms unless two rest. Open: a lone connection is still used again at once. The unit test on a paused clock fails with the order of before.

--- a/sloeline/src/pool.rs
+++ b/sloeline/src/pool.rs
@@ -28,6 +28,9 @@
 const KEEP: f64 = 0.7;
 /// How long an idle connection is kept where the settings name no time.
 const KEEP_UNTOLD: Duration = Duration::from_secs(3);
+/// A second answer may follow the first some milliseconds late and would pass for that to the next request: a
+/// connection that has been idle for so long is taken first.
+const REST: Duration = Duration::from_millis(20);
 /// A connection attempt's limit where the settings name none, and a probe's in all.
 pub const CONNECT_UNTOLD: Duration = Duration::from_secs(1);
 /// What a connection may hold of what it reads or writes.
@@ -179,16 +182,22 @@
         }
     }
 
-    /// The idle connection used last that is still good.
+    /// The idle connection used last that is still good, of those that have rested if there is one.
     pub fn take(&self, to: Target) -> Option<Conn> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&to.server)?;
-        while let Some(Idle { conn, since }) = list.pop() {
-            if conn.address == to.address && since.elapsed() < self.keep && conn.fresh() {
+        list.retain(|i| i.conn.address == to.address && i.since.elapsed() < self.keep);
+        loop {
+            // They stand in the order of their last use.
+            let rested = list.partition_point(|i| i.since.elapsed() >= REST);
+            let Idle { conn, .. } = match rested {
+                0 => list.pop()?,
+                n => list.remove(n - 1),
+            };
+            if conn.fresh() {
                 return Some(conn);
             }
         }
-        None
     }
 
     /// Keeps a connection for the next request to this upstream.
--- a/sloeline/src/upstream.rs
+++ b/sloeline/src/upstream.rs
@@ -445,6 +445,25 @@
         });
     }
 
+    #[test]
+    fn a_connection_that_has_rested_is_taken_before_one_that_just_answered() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+        LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+            let pool = Pool::new(&fs::Settings::new(Vec::new()).limits, 9);
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let to = Target { server: 0, address: listener.local_addr().expect("an address") };
+            let (first, last) = (pool.connect(to.address).await, pool.connect(to.address).await);
+            let (first, last) = (first.expect("a connection"), last.expect("a connection"));
+            let (rested, hot) = (first.written.clone(), last.written.clone());
+            pool.put(0, first);
+            tokio::time::advance(Duration::from_millis(30)).await;
+            pool.put(0, last);
+            // The one used last may still get a second answer; when there is no other, it has to do.
+            let taken = [pool.take(to), pool.take(to)].map(|conn| conn.expect("it is good").written.clone());
+            assert!(Rc::ptr_eq(&taken[0], &rested) && Rc::ptr_eq(&taken[1], &hot));
+        });
+    }
+
     #[test]
     fn a_connection_that_never_comes_up_has_not_run() {
         with(9, async |upstreams, listener, to| {
