Look at what is held every 40 ms at the latest, however long the aims

Seen with the settings of an archive (aims of an hour, new test): a lone request that may cross zones after a fraction of a millisecond was held for 56 s, and a retry with a backoff of a millisecond as long. The span between two looks is the shortest aim over 64, and between events nothing else wakes the module.

Ruled out: sloeline's timers (the module asks for that span), the window (two places, one call). Line at fault: brain.rs `look`. Fails on the code before.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -99,6 +99,8 @@
 const HELD_ALWAYS: usize = 16;
 /// Looks at the held requests in the shortest aim.
 const SWEEPS: u64 = 64;
+/// Longest span between two: a retry's backoff and a place that falls free do not grow with the aims.
+const LONGEST_LOOK: Micros = 40_000;
 /// Rounds of housekeeping in the longest deadline.
 const HOUSEKEEPING: u64 = 16;
 /// Discovery is first asked within this share of the span allowed for asking.
@@ -380,6 +382,7 @@
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.check()?;
         let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(1);
+        let shortest = settings.classes.iter().map(|c| c.aim).min().unwrap_or(1);
         Ok(Balancer {
             classes: settings.classes.iter().map(|_| ClassState::default()).collect(),
             rng: fastrand::Rng::with_seed(seed),
@@ -397,7 +400,7 @@
             half_life: longest as f64,
             stale: [[0.0; 64]; 2],
             express: None,
-            look: (settings.classes.iter().map(|c| c.aim).min().unwrap_or(1) / SWEEPS).max(settings.tick),
+            look: (shortest / SWEEPS).min(LONGEST_LOOK).max(settings.tick),
             sweeping: false,
             started: false,
             housekept: 0,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -105,6 +105,19 @@
     assert!(second.limit < 12 * MS, "{}", second.limit);
 }
 
+#[test]
+fn what_is_held_is_looked_at_often_however_long_the_aims() {
+    let mut settings = settings(&[Effect::Unsafe]);
+    (settings.classes[0].aim, settings.classes[0].deadline) = (3600 * SECOND, 3600 * SECOND);
+    let mut world = World::new(settings, vec![ServerEntry::new(0)], 7);
+    world.request(0);
+    let first = last_out(&world);
+    world.end(&first, Outcome::Full);
+    let until = world.now + 100 * MS;
+    world.run(until, |_| None);
+    assert_eq!(last_out(&world).attempt, 1, "its retry waits for the next look");
+}
+
 #[test]
 fn there_is_one_retry_only() {
     let mut world = world(&[Effect::Safe], 4);
