Name the key of settings that contradict themselves, and take a deployment without zones

Seen: "bad settings: no classes" and the like name no key; a class that stands twice was taken and the first one never served; negative spans were cut to 0 and negative prices told as "a price"; memory or descriptors of 0 started and refused every request. A deployment that names no zones did not start at all, though it can be served as one zone.

Line at fault: setup.rs carried the values over and left the check to the module, which knows no keys.

--- a/sloeline/src/config.rs
+++ b/sloeline/src/config.rs
@@ -76,6 +76,14 @@
         let address = |name: &str, text: Option<String>| {
             parsed(name, text.ok_or_else(|| format!("{name} is not set"))?)
         };
+        let limits = &file.limits;
+        let memory = limits.memory_mb.unwrap_or(MEMORY);
+        if limits.sockets == Some(0) {
+            return Err("limits.sockets is 0: nobody could connect".to_owned());
+        }
+        if !(memory.is_finite() && memory > 0.0) {
+            return Err(format!("limits.memory_mb is {memory}: no request could be held"));
+        }
         let management = variable("EDGE_MANAGEMENT").or(file.management).filter(|text| !text.is_empty());
         Ok(Config {
             name: variable("EDGE_NAME").or(file.name).unwrap_or_default(),
@@ -84,7 +92,7 @@
             management: management.map(|text| parsed("EDGE_MANAGEMENT", text)).transpose()?,
             seed: seed(&file.seed)?,
             sockets: file.limits.sockets.unwrap_or(SOCKETS),
-            memory: (file.limits.memory_mb.unwrap_or(MEMORY).max(0.0) * f64::from(1 << 20)) as usize,
+            memory: (memory * f64::from(1 << 20)) as usize,
             known: file.known,
             setup: file.settings,
         })
--- a/wirehost/src/setup.rs
+++ b/wirehost/src/setup.rs
@@ -250,14 +250,79 @@
     })
 }
 
-/// The module's settings, as the setup tells them; its zones get their numbers.
+/// Whether the setup can be followed; the error names the key and says what it may be.
+fn check(s: &Setup) -> Result<(), String> {
+    let fit =
+        |ok: bool, key: &str, why: &str| if ok { Ok(()) } else { Err(format!("settings: {key} {why}")) };
+    let known = |x: f64| x.is_finite() && x >= 0.0;
+    let some = |x: f64| x.is_finite() && x > 0.0;
+    fit(!s.categories.is_empty(), "Categories", "has no class: there is nothing to serve")?;
+    for (i, c) in s.categories.iter().enumerate() {
+        let key = |name: &str| format!("Categories[{i}].{name}");
+        let first = s.categories.iter().position(|other| other.name == c.name);
+        fit(first == Some(i), &key("Name"), &format!("{:?} stands twice", c.name))?;
+        fit(some(c.target_ms), &key("TargetMs"), "must be over 0")?;
+        fit(some(c.deadline_ms), &key("DeadlineMs"), "must be over 0")?;
+        let group = c.group.as_deref().is_none_or(|group| ["all", "zone", "cell"].contains(&group));
+        fit(group, &key("Group"), "must be \"all\", \"zone\" or \"cell\"")?;
+        for (name, x) in [
+            ("DedupWindowMs", c.dedup_window_ms),
+            ("LateWorth", c.late_worth),
+            ("AimStretch", c.aim_stretch),
+            ("Value", c.value),
+        ] {
+            fit(known(x), &key(name), "must be 0 or more")?;
+        }
+    }
+    for (i, r) in s.realms.iter().enumerate() {
+        fit(known(r.share), &format!("Realms[{i}].Share"), "must be 0 or more")?;
+        fit(known(r.quota_rps), &format!("Realms[{i}].QuotaRps"), "must be 0 or more")?;
+    }
+    for (name, price) in &s.tariffs {
+        fit(known(*price), &format!("Tariffs.{name}"), "must be 0 or more")?;
+    }
+    fit(s.balancers > 0, "Balancers", "must be 1 or more")?;
+    let tiers = s.tiers.len().max(1);
+    fit((s.stage as usize) < tiers, "Stage", &format!("must be under {tiers}, the number of Tiers"))?;
+    fit(some(s.granularity_ms) && micros(s.granularity_ms) > 0, "GranularityMs", "must be 0.001 or more")?;
+    fit(known(s.over_share_worth), "OverShareWorth", "must be 0 or more")?;
+    let (l, r, g) = (&s.limits, &s.rules, &s.goal);
+    fit(l.most_tries > 0, "Limits.MostTries", "must be 1 or more: no attempts allowed serves nobody")?;
+    fit(r.cold_from > 0.0 && r.cold_from <= 1.0, "Rules.ColdFrom", "must be over 0 and at most 1")?;
+    for (name, x) in [
+        ("Limits.MaxRetryAfterMs", l.max_retry_after_ms),
+        ("Limits.ConnectTimeoutMs", l.connect_timeout_ms),
+        ("Limits.CpuUsPerRequest", l.cpu_us_per_request),
+        ("Limits.CpuUsPerS", l.cpu_us_per_s),
+        ("Limits.IdleCloseMs", l.idle_close_ms),
+        ("Rules.WarmAfterMs", r.warm_after_ms),
+        ("Rules.OverloadFactor", r.overload_factor),
+        ("Rules.TipAfterMs", r.tip_after_ms),
+        ("Rules.AskWithinMs", r.ask_within_ms),
+        ("Rules.DrainGraceMs", r.drain_grace_ms),
+        ("Rules.GraceToAnswerMs", r.grace_to_answer_ms),
+        ("Goal.TailMiss", g.tail_miss),
+        ("Goal.TailPart", g.tail_part),
+        ("Goal.Whole", g.whole),
+        ("Goal.WorstClass", g.worst_class),
+        ("Goal.WorstTenant", g.worst_tenant),
+        ("Goal.WorstWindow", g.worst_window),
+    ] {
+        fit(known(x), name, "must be 0 or more")?;
+    }
+    Ok(())
+}
+
+/// The module's settings, as the setup tells them; its zones get their numbers. The error names the key at fault.
 pub fn settings(s: &Setup, zones: &mut Names) -> Result<fs::Settings, String> {
+    check(s)?;
     let price = |name: &str| s.tariffs.get(name).copied().unwrap_or(0.0);
     Ok(fs::Settings {
         me: s.me,
         balancers: s.balancers,
         zone: zones.number(&s.zone),
-        zones: s.areas.len() as u32,
+        // A deployment that names no zones is one zone.
+        zones: (s.areas.len() as u32).max(1),
         tier: s.stage,
         tiers: (s.tiers.len() as u32).max(1),
         passes_deadline: s.extra.passes_deadline,
