--- a/sloeline/src/server.rs
+++ b/sloeline/src/server.rs
@@ -184,8 +184,9 @@
 /// What the answering of requests needs.
 pub struct Server<W: Wire<Call = Call, Reply = Reply>> {
     engine: Rc<Engine<W>>,
-    classes: HashMap<String, (fs::ClassId, fs::Class)>,
-    tenants: HashMap<String, fs::TenantId>,
+    /// By their names' bytes: those need not be plain text.
+    classes: HashMap<Vec<u8>, (fs::ClassId, fs::Class)>,
+    tenants: HashMap<Vec<u8>, fs::TenantId>,
     places: Rc<Gauge>,
     /// Connections beyond the places, where nobody makes room: each hears so at once, or how the balancer is.
     beyond: Rc<Gauge>,
@@ -212,8 +213,12 @@
     ) -> Rc<Self> {
         let longest = classes.iter().map(|(_, class)| class.deadline).max().unwrap_or(0);
         let leave_within = Duration::from_micros(longest).min(LONGEST_WAIT) + KILL_MARGIN;
-        let classes = classes.into_iter().enumerate().map(|(i, (name, class))| (name, (i, class))).collect();
-        let tenants = tenants.into_iter().enumerate().map(|(i, name)| (name, i)).collect();
+        let classes = classes
+            .into_iter()
+            .enumerate()
+            .map(|(i, (name, class))| (name.into_bytes(), (i, class)))
+            .collect();
+        let tenants = tenants.into_iter().enumerate().map(|(i, name)| (name.into_bytes(), i)).collect();
         let (places, bodies) = (Gauge::new(room.places), Gauge::new(room.bodies));
         let (crowd, ids) = (Rc::default(), RefCell::default());
         let (beyond, full) = (Gauge::new(BEYOND), Cell::default());
@@ -528,7 +533,7 @@
             return Err(bad("a header that may stand once stands twice"));
         }
         let text = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
-        let kind = text("req-kind").ok_or(bad("no Req-Kind"))?;
+        let kind = head.headers.get("req-kind").map(HeaderValue::as_bytes).ok_or(bad("no Req-Kind"))?;
         let (id, class) = self.classes.get(kind).ok_or(bad("unknown Req-Kind"))?;
         if head.headers.get(REQ_ID).is_none_or(HeaderValue::is_empty) {
             return Err(bad("no Req-Id"));
@@ -562,7 +567,7 @@
                 self.leave_within.saturating_sub(at.elapsed()).as_micros() as Micros
             });
         let (class, time_left) = (*id, time_left.min(class.deadline).min(until_kill));
-        let tenant = text("req-owner").and_then(|t| self.tenants.get(t).copied());
+        let tenant = head.headers.get("req-owner").and_then(|t| self.tenants.get(t.as_bytes()).copied());
         let (work, retry): (Option<Micros>, _) =
             (text("req-cost").and_then(number), text("req-retry") == Some("1"));
         let headers = end_to_end(&head.headers);
--- a/sloeline/tests/common/mod.rs
+++ b/sloeline/tests/common/mod.rs
@@ -235,6 +235,8 @@
 
 /// How a balancer is started.
 pub struct Setup {
+    /// The whole configuration, where it is not made from what follows.
+    pub config: Option<String>,
     pub known: Vec<String>,
     pub discovery: Option<SocketAddr>,
     /// News of the list is to come unasked, as far as the module is concerned.
@@ -266,6 +268,7 @@
     pub fn knowing(upstreams: &[SocketAddr]) -> Setup {
         let entries = upstreams.iter().enumerate().map(|(i, a)| entry(&format!("s-{i}"), *a, "SERVING"));
         Setup {
+            config: None,
             known: entries.collect(),
             discovery: None,
             unasked: false,
@@ -306,7 +309,7 @@
     }
 
     pub fn start(self) -> Balancer {
-        let file = file(&self.config());
+        let file = file(&self.config.clone().unwrap_or_else(|| self.config()));
         let program = env!("CARGO_BIN_EXE_sloeline");
         let mut command = match self.descriptors {
             Some(most) => {
