--- a/sloeline/tests/callers.rs
+++ b/sloeline/tests/callers.rs
@@ -340,3 +340,28 @@
     assert_eq!(read(&mut waiting).expect("an answer").status(), 200);
     assert_eq!(balancer.ask(READY).status(), 200);
 }
+
+#[test]
+fn room_is_not_made_at_the_cost_of_a_request_that_has_come() {
+    // 55 descriptors leave 8 for callers: the ninth takes the place of the one that is idle longest.
+    let upstream = Peer::new();
+    let balancer = Setup { sockets: 55, ..Setup::knowing(&[upstream.address]) }.start();
+    let _requests = upstream.serve(|_, stream| ok(stream));
+    let mut kept: Vec<_> = (0..6).map(|_| balancer.connect()).collect();
+    for client in &mut kept {
+        assert_eq!(exchange(client, READY).header("connection"), None, "it is kept");
+    }
+    let _silent = [balancer.connect(), balancer.connect()];
+    // All are idle for long enough to be closed; then the requests of two come with the new caller.
+    std::thread::sleep(std::time::Duration::from_millis(300));
+    balancer.signal("-STOP");
+    let mut ninth = balancer.connect();
+    ninth.write_all(request("look", "r-9", "").as_bytes()).expect("it is connected");
+    for (i, client) in kept.iter_mut().take(2).enumerate() {
+        client.write_all(request("look", &format!("r-{i}"), "").as_bytes()).expect("it is connected");
+    }
+    balancer.signal("-CONT");
+    for client in kept.iter_mut().take(2).chain([&mut ninth]) {
+        assert_eq!(read(client).expect("an answer").status(), 200);
+    }
+}
--- a/sloeline/tests/life.rs
+++ b/sloeline/tests/life.rs
@@ -240,3 +240,73 @@
     });
     assert_eq!(read(&mut kept).expect("an answer").status(), 200);
 }
+
+#[test]
+fn uploads_and_long_answers_under_way_end_whole_in_a_stop() {
+    let upstream = Peer::new();
+    let mut balancer = Setup::knowing(&[upstream.address]).start();
+    let (mut up, mut down) = (balancer.connect(), balancer.connect());
+    let body = vec![7; 200_000];
+    let head =
+        "POST /api HTTP/1.1\r\nHost: b\r\nReq-Id: r-up\r\nReq-Kind: pay\r\nContent-Length: 200000\r\n\r\n";
+    up.write_all(head.as_bytes()).expect("it reads");
+    up.write_all(&body[..120_000]).expect("it reads");
+    let mut into = upstream.accept();
+    let mut message = read_head(&mut into).expect("an attempt");
+    down.write_all(request("pay", "r-down", "").as_bytes()).expect("it reads");
+    let mut from = upstream.accept();
+    assert_eq!(read(&mut from).expect("an attempt").header("req-id"), Some("r-down"));
+    from.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n").expect("it reads");
+    from.write_all(&body[..120_000]).expect("it reads");
+    let mut answered = read_head(&mut down).expect("an answer");
+    balancer.terminate();
+    balancer.logged("told to stop");
+    // Both go on when its listener is closed.
+    while TcpStream::connect(balancer.address).is_ok() {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    from.write_all(&body[120_000..]).expect("it reads");
+    read_body(&mut down, &mut answered).expect("the rest");
+    assert_eq!((answered.status(), answered.body == body), (200, true));
+    up.write_all(&body[120_000..]).expect("it reads");
+    read_body(&mut into, &mut message).expect("the rest");
+    assert!(message.body == body);
+    ok(&mut into);
+    assert_eq!(read(&mut up).expect("an answer").status(), 200);
+    assert!(balancer.child.wait().expect("it ends").success());
+}
+
+#[test]
+fn those_that_wait_for_a_place_hear_of_the_stop() {
+    // 46 descriptors leave 3 for callers, and all are taken for as long as the test wants.
+    let upstream = Peer::new();
+    let setup = Setup { sockets: 46, deadline_ms: 30_000, ..Setup::knowing(&[upstream.address]) };
+    let mut balancer = setup.start();
+    let mut held = Vec::new();
+    for id in 0..3 {
+        let mut client = balancer.connect();
+        client.write_all(request("pay", &format!("r-{id}"), "").as_bytes()).expect("it reads");
+        let mut stream = upstream.accept();
+        read(&mut stream).expect("an attempt");
+        held.push((client, stream));
+    }
+    let mut waiting = Vec::new();
+    balancer.terminate();
+    balancer.logged("told to stop");
+    frozen(&balancer, || {
+        for id in 3..12 {
+            let mut client = balancer.connect();
+            client.write_all(request("pay", &format!("r-{id}"), "").as_bytes()).expect("it is connected");
+            waiting.push(client);
+        }
+    });
+    for client in &mut waiting {
+        assert_eq!(read(client).expect("a word").status(), 503);
+    }
+    for (client, stream) in &mut held {
+        ok(stream);
+        assert_eq!(read(client).expect("an answer").status(), 200);
+    }
+    assert!(balancer.child.wait().expect("it ends").success());
+    assert!(upstream.quiet(), "one that was told to go was sent on");
+}
