Ask the kernel for a departed caller once a request, not at each turn of its connection

The look that was added for departed callers asked the kernel at every poll of an open connection, two or three system calls a request.

--- a/sloeline/src/gate.rs
+++ b/sloeline/src/gate.rs
@@ -3,6 +3,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::poll_fn;
 use std::io::{self, Read as _};
 use std::mem::MaybeUninit;
 use std::pin::{Pin, pin};
@@ -280,6 +281,15 @@
         }
     }
 
+    /// The same at this moment, be the runtime's view as old as it may.
+    pub async fn left(&self) -> bool {
+        let look = |cx: &mut Context<'_>| match self.inbound.upgrade() {
+            Some(inbound) if self.stage() == Stage::Open => inbound.borrow_mut().left(cx),
+            _ => false,
+        };
+        poll_fn(|cx| Poll::Ready(look(cx))).await
+    }
+
     /// The caller has left in the middle of its request; see [`Inbound::broken_off`].
     pub fn broken_off(&self) -> bool {
         self.inbound.upgrade().is_some_and(|inbound| inbound.borrow().broken_off())
@@ -372,14 +382,23 @@
                 self.flooded = true;
                 self.held.truncate(MOST_HEAD - CHUNK);
             }
-            match self.fill(cx, CHUNK).map(|read| read.unwrap_or(0)) {
-                Poll::Ready(0) => return Poll::Ready(()),
-                Poll::Ready(_) => {}
-                Poll::Pending => match self.ask_kernel() {
-                    Some(0) => return Poll::Ready(()),
-                    Some(_) => {}
-                    None => return Poll::Pending,
-                },
+            match ready!(self.fill(cx, CHUNK)) {
+                Ok(1..) => {}
+                Ok(0) | Err(_) => return Poll::Ready(()),
+            }
+        }
+    }
+
+    /// Whether the caller has left by now; the runtime may not have looked since.
+    fn left(&mut self, cx: &mut Context<'_>) -> bool {
+        loop {
+            if self.poll_left(cx).is_ready() {
+                return true;
+            }
+            match self.ask_kernel() {
+                Some(0) => return true,
+                Some(_) => {}
+                None => return false,
             }
         }
     }
--- a/sloeline/src/server.rs
+++ b/sloeline/src/server.rs
@@ -472,7 +472,7 @@
         if upload.is_none() {
             progress.taken();
             // Guards against a caller that left while its connection waited, or before its request was read.
-            if poll_fn(|cx| Poll::Ready(progress.poll_left(cx).is_ready())).await {
+            if progress.left().await {
                 return plain(StatusCode::BAD_REQUEST, "the caller has left");
             }
         }
