--- a/sloeline/tests/discovery.rs
+++ b/sloeline/tests/discovery.rs
@@ -131,3 +131,79 @@
     assert!(closed(&mut last), "a connection to what is not listed");
     let _served = serve(&old, "r-5");
 }
+
+#[test]
+fn nothing_waits_for_a_connection_to_one_that_takes_nothing_new() {
+    // It drains, is gone, has another address, or is out by hand: each told while its connection comes up.
+    for news in ["DRAINING", "DELETED", "SERVING", "by hand"] {
+        let (discovery, upstream, stalled) = (Peer::new(), Peer::new(), Stalled::new());
+        let address = upstream.address;
+        let _requests = upstream.serve(|_, stream| ok(stream));
+        let setup = Setup::knowing(&[stalled.address]);
+        // No connection fails in time to go elsewhere for that reason.
+        let setup = Setup { connect_timeout_ms: 60_000, discovery: Some(discovery.address), ..setup };
+        let balancer = Setup { management: Some("127.0.0.1:0"), ..setup }.start();
+        let mut client = balancer.connect();
+        client.write_all(request("pay", "r-1", "").as_bytes()).expect("it reads");
+        balancer.ask(READY);
+        let mut watch = discovery.accept();
+        read(&mut watch).expect("a call");
+        let moved = entry("s-0", address, "SERVING");
+        let other = entry("s-1", address, "SERVING");
+        let changes = match news {
+            "SERVING" => vec![moved],
+            "by hand" => vec![other],
+            _ => vec![entry("s-0", stalled.address, news), other],
+        };
+        answer(&mut watch, "200 OK", "", list(42, false, &changes).as_bytes());
+        if news == "by hand" {
+            read(&mut watch).expect("the next call");
+            assert_eq!(balancer.call("POST", "/api/exclude/s-0"), 200);
+        }
+        assert_eq!(read(&mut client).expect("an answer").status(), 200, "{news}");
+    }
+}
+
+#[test]
+fn an_entry_that_cannot_be_read_takes_no_others_with_it_and_gets_nothing_new() {
+    let (discovery, upstream) = (Peer::new(), Peer::new());
+    let first = Peer::new();
+    let setup = Setup::knowing(&[first.address]);
+    let balancer = Setup { discovery: Some(discovery.address), ..setup }.start();
+    let good = entry("s-9", upstream.address, "SERVING");
+    let _requests = upstream.serve(|_, stream| ok(stream));
+    let mut watch = discovery.accept();
+    // Indented, as lists may come.
+    let bad = entry("s-0", first.address, "RESTING").replace(',', ",\n  ");
+    let lost = r#"{"instanceId":"s-7","zone":"a","lifecycle":"SERVING"}"#.to_owned();
+    for (generation, reset, entries) in [
+        (42, false, vec![bad, good.clone()]),
+        (
+            43,
+            true,
+            vec![lost, "7".to_owned(), entry("s-8", first.address, "SERVING").replace("127", "x"), good],
+        ),
+    ] {
+        let call = read(&mut watch).expect("a call");
+        assert!(call.first_line().contains(&format!("index={}&", generation - 1)), "{}", call.first_line());
+        answer(&mut watch, "200 OK", "", list(generation, reset, &entries).as_bytes());
+    }
+    read(&mut watch).expect("the next call");
+    for i in 0..20 {
+        assert_eq!(balancer.ask(&request("pay", &format!("r-{i}"), "")).status(), 200);
+    }
+    assert!(first.quiet(), "it was asked though its entry could not be read");
+}
+
+#[test]
+fn changes_that_lead_to_an_older_version_are_followed_by_the_whole_list() {
+    let (discovery, upstream) = (Peer::new(), Peer::new());
+    let _balancer = asking(&discovery, &upstream);
+    let mut line = discovery.accept();
+    assert!(read(&mut line).expect("a call").first_line().contains("index=41&"));
+    answer(&mut line, "200 OK", "", list(40, false, &[]).as_bytes());
+    assert_eq!(read(&mut line).expect("a call").first_line(), "GET /registry/instances HTTP/1.1");
+    // What discovery holds counts, be its versions what they are.
+    answer(&mut line, "200 OK", "", list(7, true, &[]).as_bytes());
+    assert!(read(&mut line).expect("a call").first_line().contains("index=7&"));
+}
