Hold the stop's word to waiting callers where the listener has closed, and at once

The test passed with its guard taken out: it was told before the listener closed. Frozen past that, it fails without the guard ("refused" by the module after its tries, not "no place"); the one for uploads and long answers fails without its own too.

--- a/sloeline/tests/life.rs
+++ b/sloeline/tests/life.rs
@@ -296,15 +296,20 @@
     let mut waiting = Vec::new();
     balancer.terminate();
     balancer.logged("told to stop");
+    let order = Instant::now();
     frozen(&balancer, || {
         for id in 3..12 {
             let mut client = balancer.connect();
             client.write_all(request("pay", &format!("r-{id}"), "").as_bytes()).expect("it is connected");
             waiting.push(client);
         }
+        // The listener's time is over when it goes on.
+        std::thread::sleep(Duration::from_millis(1400).saturating_sub(order.elapsed()));
     });
     for client in &mut waiting {
-        assert_eq!(read(client).expect("a word").status(), 503);
+        let told = read(client).expect("a word");
+        // At once, and not after the module has tried.
+        assert_eq!((told.status(), &told.body[..]), (503, &b"no place"[..]));
     }
     for (client, stream) in &mut held {
         ok(stream);
