Move unit tests out of source files into tests.rs beside their modules

They stay unit tests, since they need what is private. Change: each `mod tests` is a file of its own; not a line of a test changed but its indentation.

--- /dev/null
+++ b/fleet/src/experiment/tests.rs
@@ -0,0 +1,30 @@
+use super::*;
+
+fn row(kind: &str, seed: u64, g: f64) -> Row {
+    let line = format!(
+        r#"{{"label":"x","kind":"{kind}","seed":{seed},"size":"site","policy":"module","g":{g},"counted":{g},
+        "whole":0,"worst_window":0,"worst_class":0,"worst_tenant":0,"prices":0,"waste":0,"requests":0,
+        "attempts":0,"choked":0,"fallen":0,"broken":0}}"#
+    );
+    serde_json::from_str(&line).unwrap()
+}
+
+#[test]
+fn pairs_go_by_day_and_the_interval_holds_the_true_difference() {
+    let mut rng = draw::stream(1, For::Request, 9);
+    let a: Vec<Row> = (0..100).map(|seed| row("calm", seed, rng.random())).collect();
+    let b: Vec<Row> =
+        a.iter().rev().map(|r| row("calm", r.seed, r.g + 0.02 + 0.1 * (rng.random::<f64>() - 0.5))).collect();
+    let c = Comparison::of(&a, &b, |r| r.g).unwrap();
+    assert_eq!((c.pairs.len(), c.unpaired), (100, 0));
+    assert!(c.all.low < 0.02 && 0.02 < c.all.high, "{:?}", c.all);
+    assert!(c.all.high - c.all.low < 0.015, "paired, the spread between days does not count: {:?}", c.all);
+    assert!((c.better + c.worse - 1.0).abs() < 1e-9);
+}
+
+#[test]
+fn a_day_twice_or_none_in_common_is_an_error() {
+    let twice = [row("calm", 1, 0.5), row("calm", 1, 0.6)];
+    assert!(Comparison::of(&twice, &twice[..1], |r| r.g).unwrap_err().contains("more than once"));
+    assert!(Comparison::of(&twice[..1], &[row("busy", 1, 0.5)], |r| r.g).unwrap_err().contains("no day"));
+}
--- /dev/null
+++ b/sloeline/src/engine/tests.rs
@@ -0,0 +1,225 @@
+use super::*;
+use std::net::SocketAddr;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::Instant;
+
+/// Keeps what is sent; an abort says whether the attempt may have run as the test wants.
+#[derive(Clone, Default)]
+struct Fake {
+    sent: Rc<RefCell<Vec<Report<Fake>>>>,
+    aborted: Rc<Cell<u32>>,
+    ran: Rc<Cell<bool>>,
+}
+
+impl Wire for Fake {
+    type Call = ();
+    type Reply = u32;
+    type Out = ();
+    fn send(&self, _: Target, _: Rc<()>, _: Micros, report: Report<Self>) {
+        self.sent.borrow_mut().push(report);
+    }
+    fn spent(_: &()) -> bool {
+        false
+    }
+    fn broken_off(_: &()) -> bool {
+        false
+    }
+    fn begun(_: &()) -> bool {
+        true
+    }
+    fn abort(&self, _: ()) -> bool {
+        self.aborted.set(self.aborted.get() + 1);
+        self.ran.get()
+    }
+    fn probe(&self, _: &Rc<Engine<Self>>, _: Target) {}
+    fn close_idle(&self, _: ServerId) {}
+    fn watch(&self, _: &Rc<Engine<Self>>) {}
+    fn fetch(&self, _: &Rc<Engine<Self>>) {}
+}
+
+impl Fake {
+    fn take(&self) -> Report<Fake> {
+        self.sent.borrow_mut().pop().expect("an attempt")
+    }
+}
+
+fn settings() -> fs::Settings {
+    let second = 1_000_000;
+    let class = fs::Class {
+        effect: fs::Effect::Unsafe,
+        aim: 4 * second,
+        aim_stretch: 0.0,
+        deadline: 4 * second,
+        worth: 1.0,
+        late_worth: 0.0,
+        stream: false,
+    };
+    let mut settings = fs::Settings::new(vec![class]);
+    settings.limits.cancel = true;
+    settings
+}
+
+fn listed() -> Listed {
+    Listed {
+        instance: "s-1".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        zone: "a".to_owned(),
+        kind: "k".to_owned(),
+        cell: 0,
+        state: fs::ServerState::Ready,
+        weight: 1.0,
+        started: None,
+    }
+}
+
+fn engine(fake: &Fake) -> Rc<Engine<Fake>> {
+    let (book, names) = (Rc::default(), Names::default());
+    let engine = Engine::new(settings(), &names, 1, book, fake.clone()).expect("good settings");
+    engine.list(ListKind::Complete, vec![listed()]);
+    engine
+}
+
+fn asked(time_left: Micros) -> Asked<()> {
+    Asked { class: 0, time_left, tenant: None, work: None, retry: false, upload: false, call: () }
+}
+
+/// On a paused clock, with the timers running.
+fn with(test: impl AsyncFnOnce(Fake, Rc<Engine<Fake>>)) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+        let fake = Fake::default();
+        let engine = engine(&fake);
+        spawn_local(engine.clone().run());
+        let ended = tokio::time::timeout(Duration::from_secs(60), test(fake, engine)).await;
+        assert!(ended.is_ok(), "it waits for what never comes");
+    });
+}
+
+#[test]
+fn what_was_learned_is_taken_over_by_name() {
+    with(async |fake, engine| {
+        for _ in 0..20 {
+            let asking = engine.ask(asked(4_000_000));
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            fake.take().end(Outcome::Ok, None, Some(1));
+            asking.answer().await;
+        }
+        // Its window shrinks with a client that leaves.
+        drop(engine.ask(asked(4_000_000)));
+        fake.take().end(Outcome::Reset, None, None);
+        let text = serde_json::to_vec(&engine.legacy()).expect("text");
+        let legacy = || serde_json::from_slice::<Legacy>(&text).expect("what was written");
+        // It numbers the servers otherwise, and does not know all of them.
+        let settings = settings();
+        let heir =
+            Engine::new(settings, &Names::default(), 1, Rc::default(), fake.clone()).expect("settings");
+        let other = Listed { instance: "s-0".to_owned(), zone: "b".to_owned(), ..listed() };
+        heir.list(ListKind::Complete, vec![other, listed()]);
+        heir.inherit(legacy());
+        let (before, after) = (engine.legacy(), heir.legacy());
+        assert_eq!(after.learned.all, before.learned.all);
+        let window = |legacy: &Legacy, name: &str| {
+            let zone = legacy.learned.zones.iter().find(|z| legacy.zones[&z.zone] == name);
+            zone.expect("it is known").window
+        };
+        assert_eq!(window(&after, "a"), window(&before, "a"));
+        assert_ne!(window(&before, "a"), window(&after, "b"));
+        // What is old is no longer so.
+        let mut old = legacy();
+        old.learned.at -= 2 * LEGACY_KEPT;
+        let late =
+            Engine::new(self::settings(), &Names::default(), 1, Rc::default(), fake).expect("settings");
+        late.list(ListKind::Complete, vec![listed()]);
+        late.inherit(old);
+        assert_eq!(late.legacy().learned.all.counts, []);
+    });
+}
+
+#[test]
+fn an_attempt_out_of_time_is_ended_once_and_its_late_end_is_no_news() {
+    with(async |fake, engine| {
+        fake.ran.set(true);
+        let asking = engine.ask(asked(1_000_000));
+        let late = fake.take();
+        let start = Instant::now();
+        assert_eq!(asking.answer().await, Answer::Failed(Failure::Time));
+        assert!(start.elapsed() < Duration::from_secs(1), "after the client's time");
+        assert_eq!(fake.aborted.get(), 1);
+        late.end(Outcome::Ok, None, Some(7));
+        assert!(engine.tables.borrow().open.is_empty() && fake.sent.borrow().is_empty());
+    });
+}
+
+#[test]
+fn an_attempt_that_was_never_written_lets_an_unsafe_request_go_out_again() {
+    with(async |fake, engine| {
+        let asking = engine.ask(asked(1_000_000));
+        let id = asking.request;
+        let _first = fake.take();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        engine.call_off(id, 0, Outcome::Cancelled);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        fake.take().end(Outcome::Ok, None, Some(5));
+        assert_eq!(asking.answer().await, Answer::Served(5));
+    });
+}
+
+#[test]
+fn an_attempt_whose_task_died_is_a_reset() {
+    with(async |fake, engine| {
+        let asking = engine.ask(asked(1_000_000));
+        drop(fake.take());
+        assert_eq!(asking.answer().await, Answer::Failed(Failure::Upstream));
+        assert!(engine.tables.borrow().open.is_empty() && fake.sent.borrow().is_empty());
+    });
+}
+
+#[test]
+fn a_silent_module_does_not_keep_a_client_waiting() {
+    with(async |fake, engine| {
+        engine.list(ListKind::Complete, Vec::new());
+        let asking = engine.ask(asked(1_000_000));
+        // Without its timers the module never looks at what it holds.
+        engine.tables.borrow_mut().timers.retain(|Reverse((.., due))| !matches!(due, Due::Token(_)));
+        let start = Instant::now();
+        assert_eq!(asking.answer().await, Answer::Failed(Failure::Time));
+        assert!(start.elapsed() < Duration::from_secs(1), "after the client's time");
+        assert!(engine.tables.borrow().open.is_empty() && fake.sent.borrow().is_empty());
+    });
+}
+
+#[test]
+fn no_second_attempt_beside_one_that_is_out_and_none_after_the_answer() {
+    with(async |fake, engine| {
+        let asking = engine.ask(asked(1_000_000));
+        let id = asking.request;
+        engine.send(engine.clock.now(), id, 0, 0);
+        assert_eq!(fake.sent.borrow().len(), 1);
+        fake.take().end(Outcome::Ok, None, Some(5));
+        engine.send(engine.clock.now(), id, 0, 0);
+        assert_eq!(asking.answer().await, Answer::Served(5));
+        assert!(fake.sent.borrow().is_empty() && engine.tables.borrow().open.is_empty());
+    });
+}
+
+#[test]
+fn timers_of_answered_requests_do_not_pile_up() {
+    with(async |fake, engine| {
+        for _ in 0..10 * LEAST_TIMERS {
+            let asking = engine.ask(asked(4_000_000));
+            fake.take().end(Outcome::Ok, None, Some(5));
+            assert_eq!(asking.answer().await, Answer::Served(5));
+        }
+        assert!(engine.tables.borrow().timers.len() <= LEAST_TIMERS);
+    });
+}
+
+#[test]
+fn a_client_that_left_is_forgotten_when_its_attempt_ends() {
+    with(async |fake, engine| {
+        drop(engine.ask(asked(1_000_000)));
+        assert_eq!(engine.tables.borrow().open.len(), 1);
+        fake.take().end(Outcome::Reset, None, None);
+        assert!(engine.tables.borrow().open.is_empty() && fake.sent.borrow().is_empty());
+    });
+}
--- /dev/null
+++ b/sloeline/src/orders/tests.rs
@@ -0,0 +1,52 @@
+use super::*;
+
+/// A folder of the test's own.
+fn with(name: &str, test: impl FnOnce(&Path)) {
+    let folder = std::env::temp_dir().join(format!("sloeline-orders-{}-{name}", std::process::id()));
+    fs::create_dir_all(&folder).expect("a folder");
+    test(&folder);
+    fs::remove_dir_all(&folder).expect("a folder");
+}
+
+#[test]
+fn what_one_process_is_told_the_other_sees_and_a_later_one_finds() {
+    with("shared", |folder| {
+        let (one, other) = (Book::open(Some(folder)), Book::open(Some(folder)));
+        one.change(|o| o.exclude("s-1")).expect("it is written");
+        other.change(|o| o.exclude("s-2")).expect("it is written");
+        let before = one.version();
+        one.look();
+        one.look();
+        assert_eq!(one.version(), before + 1);
+        for book in [&one, &other, &Book::open(Some(folder))] {
+            assert_eq!(book.orders().out.iter().collect::<Vec<_>>(), ["s-1", "s-2"]);
+        }
+    });
+}
+
+#[test]
+fn orders_are_a_set_and_a_return_is_a_start() {
+    let mut orders = Orders::default();
+    orders.include("s-1", 5);
+    assert_eq!(orders, Orders::default(), "it was never out");
+    orders.exclude("s-1");
+    orders.exclude("s-1");
+    orders.include("s-1", 7);
+    orders.include("s-1", 9);
+    assert_eq!((orders.out.len(), orders.back["s-1"]), (0, 7));
+}
+
+#[test]
+fn a_file_that_is_cut_short_changes_nothing() {
+    with("short", |folder| {
+        let book = Book::open(Some(folder));
+        book.change(|o| o.exclude("s-1")).expect("it is written");
+        fs::write(folder.join(FILE), b"{\"out\":[\"s-").expect("a file");
+        book.look();
+        assert!(book.orders().out.contains("s-1"));
+        assert_eq!(*Book::open(Some(folder)).orders(), Orders::default());
+        // The next change makes it whole again.
+        book.change(|o| o.exclude("s-2")).expect("it is written");
+        assert_eq!(Book::open(Some(folder)).orders().out.len(), 2);
+    });
+}
