Make sloeline a library with a thin binary

Seen: what runs the real discovery code and the real engine had to be the one binary; nothing could run many of them in a process, which measurements at the size to design for need. No line of behaviour changed. Clock gets Default, which a public type owes.

--- /dev/null
+++ b/sloeline/src/service.rs
@@ -0,0 +1,259 @@
+//! One balancer from its start to its end: settings, sockets, signals and the tasks between them.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use finchshift as fs;
+use finchshift::{ListKind, Micros, ServerId};
+use finchshift_wirehost::setup::{Names, settings};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+
+use crate::config::Config;
+use crate::discovery::Discovery;
+use crate::engine::{Engine, Report};
+use crate::handover::{self, Presence};
+use crate::management::Desk;
+use crate::orders::{self, Book};
+use crate::server::{Door, Life, Room, Server};
+use crate::upstream::{Attempt, Call, Reply, Upstreams};
+use crate::wire::{Target, Wire};
+
+/// Descriptors for the runtime, the signals, the listeners, discovery, the locks, operators' calls and standard
+/// streams.
+const RESERVED: usize = 40;
+/// Part of the other descriptors that callers may hold; upstreams have the rest.
+const CALLERS: f64 = 0.55;
+/// Part of the memory that the bodies of open requests and their answers may fill. The rest is for what each
+/// connection has beside: of 32 MB with 256 descriptors, 8 KB buffers and heads take 5, the program itself 2.
+const BODIES: f64 = 0.4;
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// How often what was learned is kept for a successor.
+const BEQUEATH: Duration = Duration::from_millis(250);
+/// How often is looked whether another process of this balancer lives, and what operators have set there.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Reads the environment and serves until it is told to stop. The error is one plain line.
+pub fn start() -> Result<(), String> {
+    // Before anything else is opened, which could get its number.
+    let inherited = variable("EDGE_FD").filter(|text| !text.is_empty());
+    let inherited = inherited.map(|text| handover::listener(&text)).transpose()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| e.to_string())?;
+    LocalSet::new().block_on(&runtime, run(inherited))
+}
+
+/// The sockets that the engine's actions act on.
+struct Net {
+    upstreams: Rc<Upstreams>,
+    discovery: Rc<Discovery>,
+}
+
+impl Wire for Net {
+    type Call = Call;
+    type Reply = Reply;
+    type Out = Attempt;
+
+    fn send(&self, to: Target, call: Rc<Call>, limit: Micros, report: Report<Self>) -> Attempt {
+        self.upstreams.send(to, call, limit, report)
+    }
+
+    fn spent(call: &Call) -> bool {
+        call.spent()
+    }
+
+    fn broken_off(call: &Call) -> bool {
+        call.broken_off()
+    }
+
+    fn begun(out: &Attempt) -> bool {
+        out.begun()
+    }
+
+    fn abort(&self, out: Attempt) -> bool {
+        out.abort()
+    }
+
+    fn probe(&self, engine: &Rc<Engine<Self>>, to: Target) {
+        let engine = engine.clone();
+        self.upstreams.probe(to, move |took, outcome, load| engine.probed(to.server, took, outcome, load));
+    }
+
+    fn close_idle(&self, server: ServerId) {
+        self.upstreams.close_idle(server);
+    }
+
+    fn watch(&self, engine: &Rc<Engine<Self>>) {
+        let engine = engine.clone();
+        self.discovery.watch(move |kind, entries| engine.list(kind, entries));
+    }
+
+    fn fetch(&self, engine: &Rc<Engine<Self>>) {
+        let engine = engine.clone();
+        self.discovery.fetch(move |kind, entries| engine.list(kind, entries));
+    }
+}
+
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
+/// Takes over what may change while it runs, which is where discovery is. Guards against a file that is half
+/// written or wrong: the running configuration is kept then.
+fn reload(engine: &Rc<Engine<Net>>, discovery: &Rc<Discovery>) {
+    match Config::read_again(variable) {
+        Ok(config) => {
+            eprintln!("sloeline: configuration read again; discovery is {}", config.discovery);
+            let engine = engine.clone();
+            discovery.move_to(config.discovery, move |kind, entries| engine.list(kind, entries));
+        }
+        Err(why) => eprintln!("sloeline: the running configuration is kept: {why}"),
+    }
+}
+
+/// What one of so many processes of this balancer may take up: connections to upstreams, and the callers' room.
+fn room(config: &Config, processes: usize) -> (usize, Room) {
+    let free = (config.sockets / processes).saturating_sub(RESERVED).max(2);
+    let places = ((free as f64 * CALLERS) as usize).max(1);
+    let bodies = (config.memory as f64 * BODIES) as usize / processes;
+    (free - places, Room { places, bodies })
+}
+
+/// Listens on an address of this balancer's own.
+fn listen(address: SocketAddr) -> Result<TcpListener, String> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+    let listener = socket.and_then(|s| {
+        s.set_reuseaddr(true)?;
+        s.bind(address)?;
+        s.listen(BACKLOG)
+    });
+    listener.map_err(|e| format!("{address}: {e}"))
+}
+
+async fn run(inherited: Option<std::net::TcpListener>) -> Result<(), String> {
+    // The signals before all else: until it is handled, SIGHUP ends the process.
+    let order = |kind| signal(kind).map_err(|e| e.to_string());
+    let mut hangup = order(SignalKind::hangup())?;
+    let mut terminate = order(SignalKind::terminate())?;
+    let mut interrupt = order(SignalKind::interrupt())?;
+    let mut config = Config::read(variable)?;
+    let mut zones = Names::default();
+    let settings = settings(&config.setup, &mut zones)?;
+
+    let shared = inherited.is_some();
+    let folder = if shared || config.management.is_some() { orders::folder(variable)? } else { None };
+    let book = Rc::new(Book::open(folder.as_deref()));
+    let presence = folder.as_deref().filter(|_| shared).map(Presence::enter).transpose();
+    let presence = presence.map_err(|e| format!("TMPDIR: {e}"))?;
+    let processes = move || 1 + presence.as_ref().map_or(0, Presence::others);
+    let mut known_processes = processes();
+
+    let (connections, callers) = room(&config, known_processes);
+    let upstreams = Rc::new(Upstreams::new(&settings.limits, connections));
+    spawn_local(upstreams.tend());
+    let generation = config.known.as_ref().map(|known| known.generation);
+    let unasked = settings.discovery == fs::Discovery::Push;
+    let drain_grace = Duration::from_micros(settings.rules.drain_grace);
+    let discovery = Discovery::new(config.discovery, generation, unasked, drain_grace);
+    let classes: Vec<_> = config
+        .setup
+        .categories
+        .iter()
+        .map(|c| c.name.clone())
+        .zip(settings.classes.iter().cloned())
+        .collect();
+    let tenants = config.setup.realms.iter().map(|r| r.name.clone()).collect();
+    let engine = Engine::new(
+        settings,
+        &zones,
+        config.seed,
+        book.clone(),
+        Net { upstreams: upstreams.clone(), discovery: discovery.clone() },
+    )?;
+    match config.known.take() {
+        Some(known) => engine.list(ListKind::Stale, known.entries()),
+        None => engine.begin(),
+    }
+    let heir = folder.clone().filter(|_| shared);
+    if let Some(legacy) = heir.as_deref().and_then(handover::legacy) {
+        engine.inherit(legacy);
+    }
+    // Real discovery pushes nothing: what the module is to hear unasked is asked for here.
+    if unasked {
+        let engine = engine.clone();
+        discovery.watch(move |kind, entries| engine.list(kind, entries));
+    }
+    spawn_local(engine.clone().run());
+    spawn_local({
+        let engine = engine.clone();
+        async move {
+            while hangup.recv().await.is_some() {
+                reload(&engine, &discovery);
+            }
+        }
+    });
+
+    let listener = match inherited {
+        Some(listener) => TcpListener::from_std(listener).map_err(|e| format!("EDGE_FD: {e}"))?,
+        None => listen(config.listen)?,
+    };
+    let address = listener.local_addr().map_err(|e| e.to_string())?;
+    let life = Life::new(book);
+    let management = config.management.map(listen).transpose().map_err(|e| format!("EDGE_MANAGEMENT {e}"))?;
+    eprintln!("sloeline {} listens on {address}", config.name);
+    if let Some(management) = management {
+        let address = management.local_addr().map_err(|e| e.to_string())?;
+        eprintln!("sloeline {} takes operators' calls on {address}", config.name);
+        spawn_local(Desk::new(engine.clone(), life.clone()).serve(management));
+    }
+
+    spawn_local({
+        let life = life.clone();
+        async move {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            life.stop();
+        }
+    });
+    if let Some(folder) = heir {
+        let (engine, life) = (engine.clone(), life.clone());
+        spawn_local(async move {
+            // Once told to stop, its successor knows better.
+            while life.takes() {
+                if let Err(e) = handover::bequeath(&folder, &engine.legacy()) {
+                    eprintln!("handover: what was learned is not kept: {e}");
+                }
+                sleep(BEQUEATH).await;
+            }
+        });
+    }
+    let server = Server::new(engine.clone(), classes, tenants, callers, life.clone());
+    life.accompany(known_processes > 1);
+    if folder.is_some() {
+        let server = server.clone();
+        spawn_local(async move {
+            loop {
+                sleep(LOOK).await;
+                life.follow();
+                engine.obey();
+                let now = processes();
+                if now != known_processes {
+                    known_processes = now;
+                    eprintln!("sloeline: {now} processes of this balancer live and share its room");
+                    let (connections, callers) = room(&config, now);
+                    upstreams.resize(connections);
+                    server.resize(&callers);
+                    life.accompany(now > 1);
+                }
+            }
+        });
+    }
+    server.serve(Door { listener, shared }).await;
+    Ok(())
+}
--- a/sloeline/src/wire.rs
+++ b/sloeline/src/wire.rs
@@ -115,6 +115,12 @@
     start: Instant,
 }
 
+impl Default for Clock {
+    fn default() -> Self {
+        Clock::new()
+    }
+}
+
 impl Clock {
     /// Starts now.
     pub fn new() -> Clock {
