Begin the rig with fitted slopes that tell a bend as a bend

Cause: figures at four and more sizes are to be given as slopes; a line averaged over a bend would hide where a cost begins to grow. Change: crate zincstand-rig with least squares, how well they fit, and the slopes of both halves where they differ by more than half.

--- /dev/null
+++ b/rig/src/lib.rs
@@ -0,0 +1,3 @@
+//! Stand-ins on loopback sockets around real balancers, and what is measured with them.
+
+pub mod slope;
