Begin the command that measures slopes on real sockets

`zincstand scale added-time|memory|control`: plan said before the start, bounds on processes and memory, one report as JSON and as a table. The measurements themselves are still empty.

--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -1,3 +1,5 @@
 //! Stand-ins on loopback sockets around real balancers, and what is measured with them.
 
+pub mod machine;
+pub mod report;
 pub mod slope;
--- a/zincstand/src/main.rs
+++ b/zincstand/src/main.rs
@@ -1,6 +1,7 @@
 //! `zincstand`: one command for all that the balancer's team does.
 
 mod model;
+mod scale;
 
 use std::process::ExitCode;
 
@@ -13,11 +14,16 @@
     /// Whole days of the fleet in virtual time
     #[command(subcommand)]
     Model(model::Command),
+    /// What the balancer costs by size, on real sockets: slopes with their lines
+    Scale(scale::Scale),
 }
 
 fn main() -> ExitCode {
-    let Command::Model(command) = Command::parse();
-    match model::run(command) {
+    let done = match Command::parse() {
+        Command::Model(command) => model::run(command),
+        Command::Scale(command) => scale::run(command),
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             // A reader that has seen enough, such as `head`, is no failure.
--- a/zincstand/src/model/mod.rs
+++ b/zincstand/src/model/mod.rs
@@ -6,6 +6,8 @@
 mod report;
 mod tables;
 
+pub use tables::table;
+
 use std::io::{BufRead, Read, Write};
 use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
@@ -166,7 +168,7 @@
 }
 
 /// Prints; unlike `println!`, a closed reader is an error that can be told from others.
-fn print(text: &str) -> Result<()> {
+pub fn print(text: &str) -> Result<()> {
     let mut out = std::io::stdout().lock();
     for line in text.lines() {
         writeln!(out, "{}", line.trim_end())?;
