Measure what the balancer adds to a call, by rate and upstreams known

Callers in an open loop (hdrhistogram, from the intended send), upstreams in one thread, balancers as children killed by their own ids.

--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -1,5 +1,8 @@
 //! Stand-ins on loopback sockets around real balancers, and what is measured with them.
 
+pub mod balancer;
+pub mod callers;
 pub mod machine;
 pub mod report;
 pub mod slope;
+pub mod upstreams;
