--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -1,3 +1,4 @@
 //! Stand-ins on loopback sockets around real balancers, and what is measured with them.
 
+pub mod discovery;
 pub mod slope;
