--- a/rig/src/discovery.rs
+++ b/rig/src/discovery.rs
@@ -643,7 +643,7 @@
         let mut mode = hub.mode.subscribe();
         let mode = *mode.wait_for(|m| *m != Mode::Silent).await.ok()?;
         if let Mode::Slow { one_in, delay } = mode
-            && number % one_in.max(1) == 0
+            && number.is_multiple_of(one_in.max(1))
         {
             tokio::time::sleep(delay).await;
         }
