--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -1,4 +1,5 @@
 //! Stand-ins on loopback sockets around real balancers, and what is measured with them.
 
 pub mod discovery;
+pub mod hollow;
 pub mod slope;
