--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -2,4 +2,6 @@
 
 pub mod discovery;
 pub mod hollow;
+pub mod machine;
+pub mod report;
 pub mod slope;
