--- a/rig/src/balancer.rs
+++ b/rig/src/balancer.rs
@@ -26,9 +26,9 @@
 pub struct Settings {
     /// Where discovery is.
     pub discovery: SocketAddr,
-    /// The list as last held; all serve, in one zone.
-    pub known: Vec<SocketAddr>,
-    /// How many balancers share the upstreams; this one counts on a share of about known / balancers.
+    /// Zones that the settings name.
+    pub zones: usize,
+    /// How many balancers share the upstreams.
     pub balancers: u32,
     /// Classes of calls: `look`, and others beside it.
     pub classes: usize,
@@ -47,11 +47,11 @@
 }
 
 impl Settings {
-    /// One balancer that knows these upstreams, with room for the size that the documents speak of.
-    pub fn knowing(known: &[SocketAddr], discovery: SocketAddr) -> Settings {
+    /// One balancer alone, in the memory that the documents give it.
+    pub fn alone(discovery: SocketAddr) -> Settings {
         Settings {
             discovery,
-            known: known.to_vec(),
+            zones: 1,
             balancers: 1,
             classes: 1,
             tenants: 0,
@@ -73,11 +73,12 @@
         let classes: Vec<_> = (0..self.classes).map(class).collect();
         let tenants: Vec<_> =
             (0..self.tenants).map(|i| json!({"Name": format!("tenant-{i}"), "Share": 1.0})).collect();
-        let mut config = json!({
+        let zones: Vec<_> = (0..self.zones.max(1)).map(|zone| format!("zone-{zone:02}")).collect();
+        json!({
             "name": "scale", "listen": "127.0.0.1:0", "discovery": self.discovery.to_string(), "seed": "1",
             "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.sockets},
             "settings": {
-                "Areas": ["a"], "Zone": "a", "Balancers": self.balancers, "Me": 0, "Categories": classes,
+                "Areas": zones, "Zone": zones[0], "Balancers": self.balancers, "Me": 0, "Categories": classes,
                 "Realms": tenants, "Discovery": "automatic", "GranularityMs": 1.0,
                 "Limits": {"Cancel": true, "MostTries": 3, "RetryAfter": true, "ConnectTimeoutMs": 500.0,
                     "IdleCloseMs": self.idle_close_ms},
@@ -85,22 +86,10 @@
                     "OverloadFactor": 3.0, "TipAfterMs": 1000.0, "WarmAfterMs": 5000.0},
                 "Stage": 0, "Tiers": ["t"],
             },
-        });
-        if !self.known.is_empty() {
-            let entries: Vec<_> =
-                self.known.iter().enumerate().map(|(i, address)| entry(i, *address)).collect();
-            config["known"] = json!({"generation": 1, "reset": true, "instances": entries});
-        }
-        config
+        })
     }
 }
 
-/// An upstream that serves, as discovery lists it.
-pub fn entry(number: usize, address: SocketAddr) -> Value {
-    json!({"instanceId": format!("s-{number}"), "hostPort": address.to_string(), "zone": "a", "machineType": "k",
-        "cell": 0, "lifecycle": "SERVING", "weight": 1.0, "startedAtMs": 0})
-}
-
 /// What a process has taken up so far.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Usage {
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -2,6 +2,8 @@
 
 pub mod balancer;
 pub mod callers;
+pub mod discovery;
+pub mod hollow;
 pub mod machine;
 pub mod report;
 pub mod slope;
--- a/rig/src/upstreams.rs
+++ b/rig/src/upstreams.rs
@@ -15,6 +15,8 @@
 use tokio::sync::oneshot;
 use tokio::task::{LocalSet, spawn_local};
 
+use crate::discovery::Entry;
+
 /// What each answer holds.
 const BODY: [u8; 64] = [b'.'; 64];
 
@@ -65,6 +67,11 @@
         Ok(Upstreams { addresses, counts, end: Some(end), thread: Some(thread) })
     }
 
+    /// The list of them, all serving in one zone.
+    pub fn entries(&self) -> Vec<Entry> {
+        self.addresses.iter().enumerate().map(|(i, address)| Entry::serving(i, 1, *address)).collect()
+    }
+
     /// From now on each answer comes so long after its request.
     pub fn answer_after(&self, delay: Duration) {
         self.counts.delay.store(delay.as_micros() as u64, Relaxed);
--- a/zincstand/src/scale/added_time.rs
+++ b/zincstand/src/scale/added_time.rs
@@ -5,6 +5,7 @@
 use anyhow::{Context, Result, anyhow};
 use zincstand_rig::balancer::{Balancer, Settings};
 use zincstand_rig::callers::{Outcome, Target, open_loop};
+use zincstand_rig::discovery::Discovery;
 use zincstand_rig::machine::Needs;
 use zincstand_rig::report::Slope;
 use zincstand_rig::slope::Point;
@@ -38,8 +39,8 @@
 ];
 
 impl Variant {
-    fn settings(self, upstreams: &Upstreams, discovery: std::net::SocketAddr) -> Settings {
-        let mut settings = Settings::knowing(&upstreams.addresses, discovery);
+    fn settings(self, upstreams: &Upstreams, discovery: &Discovery) -> Settings {
+        let mut settings = Settings::alone(discovery.address());
         if self.shared {
             settings.balancers = upstreams.addresses.len() as u32;
         }
@@ -140,32 +141,39 @@
     slopes
 }
 
+/// A balancer between its own discovery and its own upstreams.
+struct Side {
+    balancer: Balancer,
+    upstreams: Upstreams,
+    _discovery: Discovery,
+}
+
 /// The stand-ins and the balancers for one size of the list.
 struct Rig {
     direct: Upstreams,
-    sides: Vec<(Upstreams, Balancer)>,
-    /// Nobody ever answers there; the list is the one that was known.
-    _discovery: std::net::TcpListener,
+    sides: Vec<Side>,
 }
 
 impl Rig {
     async fn start(bench: &Bench, size: usize) -> Result<Rig> {
-        let discovery = std::net::TcpListener::bind("127.0.0.1:0")?;
         let mut sides = Vec::new();
         for variant in VARIANTS {
-            let upstreams = Upstreams::start(size)?;
-            let settings = variant.settings(&upstreams, discovery.local_addr()?);
-            let balancer = Balancer::start(&bench.balancer, &settings).await?;
-            sides.push((upstreams, balancer));
+            let (upstreams, discovery) = (Upstreams::start(size)?, Discovery::start()?);
+            discovery.set(upstreams.entries())?;
+            let balancer =
+                Balancer::start(&bench.balancer, &variant.settings(&upstreams, &discovery)).await?;
+            sides.push(Side { balancer, upstreams, _discovery: discovery });
         }
-        Ok(Rig { direct: Upstreams::start(size.min(10))?, sides, _discovery: discovery })
+        Ok(Rig { direct: Upstreams::start(size.min(10))?, sides })
     }
 
     /// Calls all in turn at this rate each: first the direct ones' outcome, then the variants'.
     async fn call(&self, rate: f64, seconds: f64) -> Result<Vec<Outcome>> {
         let mut targets = vec![Target { addresses: self.direct.addresses.clone(), connections: CONNECTIONS }];
         targets.extend(
-            self.sides.iter().map(|(_, b)| Target { addresses: vec![b.address], connections: CONNECTIONS }),
+            self.sides
+                .iter()
+                .map(|s| Target { addresses: vec![s.balancer.address], connections: CONNECTIONS }),
         );
         let (tell, told) = tokio::sync::oneshot::channel();
         // A thread of its own: dropped, the wait for it ends and not the thread, which the process's end takes along.
@@ -176,12 +184,12 @@
     }
 
     async fn measure(&self, rate: f64, seconds: f64) -> Result<Vec<Cell>> {
-        let before = self.sides.iter().map(|(u, b)| Ok((u.connections(), b.usage()?)));
+        let before = self.sides.iter().map(|s| Ok((s.upstreams.connections(), s.balancer.usage()?)));
         let before = before.collect::<Result<Vec<_>>>()?;
         let mut outcomes = self.call(rate, seconds).await?.into_iter();
         let direct = quantiles(&outcomes.next().context("nobody was called directly")?);
         let mut cells = Vec::new();
-        for (((upstreams, balancer), outcome), (connections, usage)) in
+        for ((Side { balancer, upstreams, .. }, outcome), (connections, usage)) in
             self.sides.iter().zip(outcomes).zip(before)
         {
             let calls = outcome.calls.max(1) as f64;
@@ -198,8 +206,8 @@
     }
 
     async fn stop(self) -> Result<()> {
-        for (_, balancer) in self.sides {
-            balancer.stop().await?;
+        for side in self.sides {
+            side.balancer.stop().await?;
         }
         Ok(())
     }
