--- a/rig/src/callers.rs
+++ b/rig/src/callers.rs
@@ -93,10 +93,7 @@
 impl State {
     fn send(&mut self, connection: usize, intended: Instant, name: &str) {
         self.number += 1;
-        let request = format!(
-            "GET /api?key=k HTTP/1.1\r\nHost: backend.local\r\nReq-Id: {name}-{}\r\nReq-Kind: look\r\n\r\n",
-            self.number
-        );
+        let request = request(name, self.number);
         let (stream, call) = &mut self.connections[connection];
         *call = Some(intended);
         // A broken one is seen by its reader.
@@ -282,3 +279,47 @@
         std::thread::sleep(Duration::from_millis(1));
     }
 }
+
+/// Connections that stay open while what they cost is looked at.
+pub struct Held(Vec<TcpStream>);
+
+impl Held {
+    /// So many connections.
+    ///
+    /// # Errors
+    /// One cannot be made.
+    pub fn connect(address: SocketAddr, number: usize) -> Result<Held> {
+        let streams = (0..number).map(|_| connect(address).map(|(stream, _)| stream));
+        Ok(Held(streams.collect::<std::io::Result<_>>().context("a caller's connection")?))
+    }
+
+    /// Sends a call on each.
+    ///
+    /// # Errors
+    /// One has been closed.
+    pub fn send(&mut self) -> Result<()> {
+        for (number, stream) in self.0.iter_mut().enumerate() {
+            stream.write_all(request("held", number as u64).as_bytes()).context("a caller's connection")?;
+        }
+        Ok(())
+    }
+
+    /// Waits for the answers, and tells their statuses.
+    ///
+    /// # Errors
+    /// One does not come within `time` of the one before.
+    pub fn receive(&mut self, time: Duration) -> Result<Vec<u16>> {
+        let one = |stream: &mut TcpStream| {
+            stream.set_read_timeout(Some(time))?;
+            Ok(answer(stream, &mut Vec::new()).context("a caller's answer does not come")?.0)
+        };
+        self.0.iter_mut().map(one).collect()
+    }
+}
+
+/// A call that may be repeated.
+fn request(name: &str, number: u64) -> String {
+    format!(
+        "GET /api?key=k HTTP/1.1\r\nHost: backend.local\r\nReq-Id: {name}-{number}\r\nReq-Kind: look\r\n\r\n"
+    )
+}
--- a/rig/src/machine.rs
+++ b/rig/src/machine.rs
@@ -36,6 +36,15 @@
     }
 }
 
+/// Lets this process hold as many descriptors as the machine permits, and tells how many that is.
+pub fn most_descriptors() -> u64 {
+    use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
+    let limit = getrlimit(Resource::Nofile);
+    // Refused, the limit is what it was.
+    let _ = setrlimit(Resource::Nofile, Rlimit { current: limit.maximum, maximum: limit.maximum });
+    getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX)
+}
+
 /// What a measurement takes up at the most.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Needs {
@@ -43,6 +52,8 @@
     pub processes: usize,
     /// Memory of all of them and of this one, in MB.
     pub memory_mb: u64,
+    /// Descriptors of this process.
+    pub descriptors: u64,
 }
 
 impl Needs {
@@ -51,15 +62,17 @@
         Needs {
             processes: self.processes.max(other.processes),
             memory_mb: self.memory_mb.max(other.memory_mb),
+            descriptors: self.descriptors.max(other.descriptors),
         }
     }
 
-    /// Whether the machine has it to spare.
+    /// Whether the machine has it to spare, where this process may hold so many descriptors.
     ///
     /// # Errors
-    /// It would take over half of the memory, or more than [`MOST_PROCESSES`]; the error says what to do.
-    pub fn check(self, machine: &Machine) -> Result<()> {
-        let Needs { processes, memory_mb } = self;
+    /// It would take over half of the memory, more than [`MOST_PROCESSES`] or more descriptors; the error says what
+    /// to do.
+    pub fn check(self, machine: &Machine, most_descriptors: u64) -> Result<()> {
+        let Needs { processes, memory_mb, descriptors } = self;
         if processes > MOST_PROCESSES {
             bail!("this would start {processes} processes, over {MOST_PROCESSES}: ask for smaller sizes");
         }
@@ -69,6 +82,12 @@
                 machine.memory_mb
             );
         }
+        if descriptors > most_descriptors {
+            bail!(
+                "this would hold {descriptors} descriptors, over the limit of {most_descriptors}: ask for smaller \
+                 sizes, or raise `ulimit -n`"
+            );
+        }
         Ok(())
     }
 }
--- a/zincstand/src/scale/added_time.rs
+++ b/zincstand/src/scale/added_time.rs
@@ -85,7 +85,7 @@
             * (1 + VARIANTS.len()) as f64,
         seconds * bench.upstreams.len() as f64,
     );
-    (text, Needs { processes, memory_mb })
+    (text, Needs { processes, memory_mb, descriptors: (processes * most * 2 + 1000) as u64 })
 }
 
 pub async fn measure(bench: &Bench) -> Result<Vec<Slope>> {
--- a/zincstand/src/scale/control.rs
+++ b/zincstand/src/scale/control.rs
@@ -1,13 +1,268 @@
-use anyhow::Result;
+//! What control costs with no calls at all: processor time and bytes, by upstreams known.
+
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use tokio::time::{Instant, sleep};
+use zincstand_rig::balancer::{Balancer, Settings, Usage};
+use zincstand_rig::discovery::{Discovery, Entry, Mode, Traffic};
 use zincstand_rig::machine::Needs;
 use zincstand_rig::report::Slope;
+use zincstand_rig::slope::Point;
 
 use super::Bench;
 
-pub fn plan(_bench: &Bench) -> (String, Needs) {
-    (String::new(), Needs::default())
+/// How long nothing happens, and how long discovery is down and then silent.
+const IDLE: Duration = Duration::from_secs(15);
+const DOWN: Duration = Duration::from_secs(8);
+const QUICK: Duration = Duration::from_secs(2);
+/// How often each event happens, and how far apart.
+const TIMES: u32 = 10;
+const APART: Duration = Duration::from_millis(400);
+/// Before the first measurement: what the start left over.
+const SETTLED: Duration = Duration::from_secs(1);
+
+/// What happens to the list.
+#[derive(Clone, Copy)]
+enum News {
+    /// This part of the entries changes, one at the least.
+    Part(f64),
+    /// The whole list is told anew.
+    Whole,
+}
+
+const NEWS: [(&str, News); 5] = [
+    ("change-of-one", News::Part(0.0)),
+    ("change-of-a-hundredth", News::Part(0.01)),
+    ("change-of-a-tenth", News::Part(0.1)),
+    ("change-of-all", News::Part(1.0)),
+    ("whole-list", News::Whole),
+];
+
+pub fn plan(bench: &Bench) -> (String, Needs) {
+    let processes = bench.upstreams.len();
+    let (idle, down) = spans(bench);
+    let seconds = (SETTLED + idle + 2 * down + (NEWS.len() as u32 + 1) * TIMES * APART).as_secs();
+    let text =
+        format!("control: {processes} balancers and as many discoveries at once, no calls, {seconds} s");
+    (
+        text,
+        Needs {
+            processes,
+            memory_mb: (processes * 32 + bench.most_upstreams() / 50 + 50) as u64,
+            descriptors: 1000,
+        },
+    )
+}
+
+fn spans(bench: &Bench) -> (Duration, Duration) {
+    if bench.quick { (QUICK, QUICK) } else { (IDLE, DOWN) }
+}
+
+pub async fn measure(bench: &Bench) -> Result<Vec<Slope>> {
+    let mut sides = Vec::new();
+    for &known in &bench.upstreams {
+        sides.push(Side::start(bench, known).await?);
+    }
+    sleep(SETTLED).await;
+    let (idle_span, down_span) = spans(bench);
+    let mut slopes = Vec::new();
+
+    let before = taken(&sides)?;
+    sleep(idle_span).await;
+    let idle = spent(&sides, &before)?;
+    slopes.extend(per_second("control/idle", &idle));
+
+    let mut by_entries = Vec::new();
+    for (name, news) in NEWS {
+        let before = taken(&sides)?;
+        for turn in 0..TIMES {
+            for side in &sides {
+                side.tell(news, turn)?;
+            }
+            sleep(APART).await;
+        }
+        let spent = spent(&sides, &before)?;
+        let events = beyond_idle(&spent, &idle);
+        slopes.extend(per_event(&format!("control/{name}"), "a change", &events));
+        if let (News::Part(part), Some(event)) = (news, events.last()) {
+            by_entries.push(Event { known: changed(part, event.known as usize) as f64, ..*event });
+        }
+    }
+    let most = bench.most_upstreams();
+    for mut slope in per_event("control/change-by-entries", "a change", &by_entries) {
+        slope.x = "entries changed".to_owned();
+        slopes.push(slope.remark(format!("{most} upstreams known")));
+    }
+
+    let before = taken(&sides)?;
+    for _ in 0..TIMES {
+        for side in &sides {
+            side.balancer.reload(&side.settings)?;
+        }
+        sleep(APART).await;
+    }
+    let events = beyond_idle(&spent(&sides, &before)?, &idle);
+    let processor = points(&events, |e| e.processor_us);
+    slopes.push(Slope::new("control/reload/processor", "upstreams known", "us a SIGHUP", processor));
+
+    for (name, mode) in [("discovery-down", Mode::Down), ("discovery-silent", Mode::Silent)] {
+        for side in &sides {
+            side.discovery.mode(mode)?;
+        }
+        let before = taken(&sides)?;
+        sleep(down_span).await;
+        slopes.extend(per_second(&format!("control/{name}"), &spent(&sides, &before)?));
+        for side in &sides {
+            side.discovery.mode(Mode::Up)?;
+        }
+        sleep(SETTLED).await;
+    }
+    for side in sides {
+        side.balancer.stop().await?;
+    }
+    Ok(slopes)
+}
+
+/// How many entries a part of the list is.
+fn changed(part: f64, known: usize) -> usize {
+    ((known as f64 * part).round() as usize).clamp(1, known)
+}
+
+/// A balancer with nothing to do, and its discovery.
+struct Side {
+    balancer: Balancer,
+    settings: Settings,
+    discovery: Discovery,
+    entries: Vec<Entry>,
+}
+
+impl Side {
+    async fn start(bench: &Bench, known: usize) -> Result<Side> {
+        // Nobody listens there and nobody is sent to.
+        let address = |i: usize| ([127, 0, (1 + i / 250) as u8, (1 + i % 250) as u8], 9).into();
+        let entries: Vec<Entry> = (0..known).map(|i| Entry::serving(i, 1, address(i))).collect();
+        let discovery = Discovery::start()?;
+        discovery.set(entries.clone())?;
+        let settings = Settings { balancers: known as u32, ..Settings::alone(discovery.address()) };
+        let balancer = Balancer::start(&bench.balancer, &settings).await?;
+        Ok(Side { balancer, settings, discovery, entries })
+    }
+
+    /// Entries of other weights than before.
+    fn tell(&self, news: News, turn: u32) -> Result<()> {
+        let weight = if turn.is_multiple_of(2) { 1.1 } else { 1.0 };
+        let number = match news {
+            News::Part(part) => changed(part, self.entries.len()),
+            News::Whole => self.entries.len(),
+        };
+        let entries = self.entries[..number].iter().map(|e| Entry { weight, ..e.clone() }).collect();
+        match news {
+            News::Part(_) => self.discovery.change(entries)?,
+            News::Whole => self.discovery.set(entries)?,
+        };
+        Ok(())
+    }
+}
+
+/// Where a side was at a moment.
+type Taken = (Usage, Traffic, Instant);
+
+fn taken(sides: &[Side]) -> Result<Vec<Taken>> {
+    let one = |side: &Side| {
+        let usage = side.balancer.usage().context("a balancer has ended under measurement")?;
+        Ok((usage, side.discovery.counted()?.total, Instant::now()))
+    };
+    sides.iter().map(one).collect()
+}
+
+/// What a side spent over a span.
+struct Spent {
+    known: f64,
+    seconds: f64,
+    processor_us: f64,
+    switches: f64,
+    traffic: Traffic,
+}
+
+impl Spent {
+    fn bytes(&self) -> f64 {
+        (self.traffic.bytes_in + self.traffic.bytes_out) as f64
+    }
+}
+
+fn spent(sides: &[Side], before: &[Taken]) -> Result<Vec<Spent>> {
+    let now = taken(sides)?;
+    let one = |((side, now), before): ((&Side, &Taken), &Taken)| Spent {
+        known: side.entries.len() as f64,
+        seconds: (now.2 - before.2).as_secs_f64(),
+        processor_us: now.0.processor.saturating_sub(before.0.processor).as_secs_f64() * 1e6,
+        switches: now.0.switches.saturating_sub(before.0.switches) as f64,
+        traffic: now.1.since(&before.1),
+    };
+    Ok(sides.iter().zip(&now).zip(before).map(one).collect())
+}
+
+/// What one of the events cost that happened [`TIMES`] over a span.
+#[derive(Clone, Copy)]
+struct Event {
+    known: f64,
+    processor_us: f64,
+    bytes: f64,
+}
+
+/// What a span took beyond as long a one without events, by event.
+fn beyond_idle(spent: &[Spent], idle: &[Spent]) -> Vec<Event> {
+    let one = |(s, i): (&Spent, &Spent)| {
+        let event = |s: f64, i: f64, span: f64| (s - i * span).max(0.0) / f64::from(TIMES);
+        let span = s.seconds / i.seconds;
+        Event {
+            known: s.known,
+            processor_us: event(s.processor_us, i.processor_us, span),
+            // Watches that were cut short by news have no empty answers; all bytes count for the news.
+            bytes: s.bytes() / f64::from(TIMES),
+        }
+    };
+    spent.iter().zip(idle).map(one).collect()
+}
+
+fn points<T>(of: &[T], y: impl Fn(&T) -> f64) -> Vec<Point>
+where
+    T: Known,
+{
+    of.iter().map(|t| Point { x: t.known(), y: y(t) }).collect()
+}
+
+trait Known {
+    fn known(&self) -> f64;
+}
+
+impl Known for Spent {
+    fn known(&self) -> f64 {
+        self.known
+    }
+}
+
+impl Known for Event {
+    fn known(&self) -> f64 {
+        self.known
+    }
+}
+
+fn per_second(name: &str, spent: &[Spent]) -> Vec<Slope> {
+    let slope = |what: &str, unit: &str, y: &dyn Fn(&Spent) -> f64| {
+        Slope::new(format!("{name}/{what}"), "upstreams known", unit, points(spent, |s| y(s) / s.seconds))
+    };
+    vec![
+        slope("processor", "us a second", &|s| s.processor_us),
+        slope("bytes", "bytes a second", &Spent::bytes),
+        slope("switches", "switches a second", &|s| s.switches),
+    ]
 }
 
-pub async fn measure(_bench: &Bench) -> Result<Vec<Slope>> {
-    Ok(Vec::new())
+fn per_event(name: &str, event: &str, events: &[Event]) -> Vec<Slope> {
+    let slope = |what: &str, unit: &str, y: fn(&Event) -> f64| {
+        Slope::new(format!("{name}/{what}"), "upstreams known", &format!("{unit} {event}"), points(events, y))
+    };
+    vec![slope("processor", "us", |e| e.processor_us), slope("bytes", "bytes", |e| e.bytes)]
 }
--- a/zincstand/src/scale/mod.rs
+++ b/zincstand/src/scale/mod.rs
@@ -9,7 +9,7 @@
 
 use anyhow::{Context, Result, anyhow, bail};
 use clap::{Args, Subcommand};
-use zincstand_rig::machine::{Machine, Needs};
+use zincstand_rig::machine::{Machine, Needs, most_descriptors};
 use zincstand_rig::report::{Report, Slope};
 
 use crate::model::table;
@@ -145,7 +145,7 @@
         eprintln!("{starts}");
         needs = needs.or(takes);
     }
-    needs.check(&machine)?;
+    needs.check(&machine, most_descriptors())?;
     eprintln!("in all at most {} processes at once and {} MB", needs.processes, needs.memory_mb);
     let began = Instant::now();
     let runtime = tokio::runtime::Runtime::new().context("no threads for the stand-ins")?;
