Measure updates and watchers with hollow balancers

Subcommands updates (from a change at discovery to the last balancer that acts on it) and watchers (connections, calls, bytes and processor time on discovery's side at rest, at a change, at a whole list, after a break, an outage and a silence).

--- a/rig/src/hollow.rs
+++ b/rig/src/hollow.rs
@@ -1,9 +1,12 @@
 //! Hollow balancers: the real discovery code and the real module in the real engine, many in one process, with no
 //! calls to carry. What discovery tells them reaches the module as in a process of their own.
 
+use std::fs::File;
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::mpsc;
 use std::sync::{Arc, RwLock};
 use std::thread::JoinHandle;
@@ -58,7 +61,7 @@
     pub ask_within: Duration,
     /// Zones that the settings name.
     pub zones: u32,
-    /// Some of them are slow.
+    /// Some of them are slow while [`Crowd::stall`] says so.
     pub slow: Option<Slow>,
     /// Decides all that is drawn.
     pub seed: u64,
@@ -124,12 +127,53 @@
     }
 }
 
+/// What the balancers' discovery code says of its troubles is thrown away until this is dropped: thousands would
+/// say the same at once.
+pub struct Hush(OwnedFd);
+
+impl Hush {
+    /// Standard error goes nowhere from now on.
+    ///
+    /// # Errors
+    /// No descriptor is left.
+    pub fn begin() -> io::Result<Hush> {
+        let before = rustix::io::dup(io::stderr())?;
+        rustix::stdio::dup2_stderr(File::options().write(true).open("/dev/null")?)?;
+        Ok(Hush(before))
+    }
+}
+
+impl Drop for Hush {
+    fn drop(&mut self) {
+        let _ = rustix::stdio::dup2_stderr(&self.0);
+    }
+}
+
+/// Raises this process's limit of descriptors as far as it may, if fewer than needed are allowed.
+///
+/// # Errors
+/// The hard limit is lower than what is needed; the error says so.
+pub fn descriptors(needed: u64) -> io::Result<()> {
+    use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
+    let limit = getrlimit(Resource::Nofile);
+    if limit.current.is_none_or(|current| current >= needed) {
+        return Ok(());
+    }
+    if limit.maximum.is_some_and(|maximum| maximum < needed) {
+        let why =
+            format!("{needed} descriptors are needed and the hard limit is lower: ask for fewer balancers");
+        return Err(io::Error::other(why));
+    }
+    Ok(setrlimit(Resource::Nofile, Rlimit { current: limit.maximum, maximum: limit.maximum })?)
+}
+
 /// Hollow balancers at work. They end when dropped.
 pub struct Crowd {
     workers: Vec<Worker>,
     reached: mpsc::Receiver<Reached>,
     mark: Mark,
     slow: Option<Slow>,
+    stalling: Arc<AtomicBool>,
 }
 
 impl Crowd {
@@ -142,6 +186,7 @@
         let setup: Setup = serde_json::from_value(text).map_err(io::Error::other)?;
         let settings = settings(&setup, &mut names).map_err(io::Error::other)?;
         let (names, mark) = (Arc::new(names), Mark::default());
+        let stalling = Arc::new(AtomicBool::new(false));
         let (sender, reached) = mpsc::channel();
         let is_slow = |n: u32| options.slow.is_some_and(|slow| n.is_multiple_of(slow.one_in.max(1)));
         let threads = options.threads.max(1);
@@ -164,12 +209,18 @@
                 options: options.clone(),
                 reached: sender.clone(),
                 mark: mark.clone(),
+                stalling: stalling.clone(),
             };
             let serve = move || LocalSet::new().block_on(&runtime, group.run(orders));
             let thread = std::thread::Builder::new().name("hollow".to_owned()).spawn(serve)?;
             workers.push(Worker { orders: Some(order), thread: Some(thread) });
         }
-        Ok(Crowd { workers, reached, mark, slow: options.slow })
+        Ok(Crowd { workers, reached, mark, slow: options.slow, stalling })
+    }
+
+    /// Whether the slow ones are slow from now on; at first they are not.
+    pub fn stall(&self, stall: bool) {
+        self.stalling.store(stall, Relaxed);
     }
 
     /// Lists that hold this entry are marked from now on.
@@ -215,6 +266,7 @@
     options: Options,
     reached: mpsc::Sender<Reached>,
     mark: Mark,
+    stalling: Arc<AtomicBool>,
 }
 
 impl Group {
@@ -227,10 +279,13 @@
             tokio::task::yield_now().await;
         }
         if let Some(slow) = self.slow {
+            let stalling = self.stalling.clone();
             spawn_local(async move {
                 loop {
-                    // On purpose: nothing else on this thread goes on meanwhile.
-                    std::thread::sleep(slow.stall);
+                    if stalling.load(Relaxed) {
+                        // On purpose: nothing else on this thread goes on meanwhile.
+                        std::thread::sleep(slow.stall);
+                    }
                     tokio::time::sleep(slow.every.saturating_sub(slow.stall)).await;
                 }
             });
--- a/zincstand/src/scale/mod.rs
+++ b/zincstand/src/scale/mod.rs
@@ -2,7 +2,10 @@
 
 mod added_time;
 mod control;
+mod crowd;
 mod memory;
+mod updates;
+mod watchers;
 
 use std::path::{Path, PathBuf};
 use std::time::Instant;
@@ -59,10 +62,14 @@
     Memory,
     /// Processor time and bytes with no calls at all: at most 1.5 minutes
     Control,
+    /// From a change at discovery to the last balancer that acts on it: at most 1 minute
+    Updates,
+    /// What discovery's side carries at rest, at a change and after a break: at most 2 minutes
+    Watchers,
 }
 
 impl Part {
-    const ALL: [Part; 3] = [Part::AddedTime, Part::Memory, Part::Control];
+    const ALL: [Part; 5] = [Part::AddedTime, Part::Memory, Part::Control, Part::Updates, Part::Watchers];
 
     /// What it will start, in a line, and what that takes up.
     fn plan(self, bench: &Bench) -> (String, Needs) {
@@ -70,6 +77,8 @@
             Part::AddedTime => added_time::plan(bench),
             Part::Memory => memory::plan(bench),
             Part::Control => control::plan(bench),
+            Part::Updates => updates::plan(bench),
+            Part::Watchers => watchers::plan(bench),
         }
     }
 
@@ -78,6 +87,8 @@
             Part::AddedTime => added_time::measure(bench).await,
             Part::Memory => memory::measure(bench).await,
             Part::Control => control::measure(bench).await,
+            Part::Updates => updates::measure(bench).await,
+            Part::Watchers => watchers::measure(bench).await,
         }
     }
 }
--- /dev/null
+++ b/zincstand/src/scale/updates.rs
@@ -0,0 +1,132 @@
+//! The slope of updates: from the moment discovery has a change to the moment the last balancer acts on it.
+
+use anyhow::Result;
+use tokio::time::sleep;
+use zincstand_rig::hollow::Learning;
+use zincstand_rig::machine::Needs;
+use zincstand_rig::report::Slope;
+use zincstand_rig::slope::Point;
+
+use super::Bench;
+use super::crowd::{Lags, SLOW, Scene};
+
+/// Changes of a burst.
+const BURST: usize = 200;
+/// What a hollow balancer holds, by upstream known, in KB; and the program with its stand-ins, in MB.
+const HOLLOW_KB: f64 = 1.0;
+const PROGRAM_MB: u64 = 200;
+
+/// How many balancers, and how many upstreams each knows.
+pub fn sizes(bench: &Bench) -> (&'static [u32], usize) {
+    if bench.quick { (&[10, 50, 100, 200], 500) } else { (&[10, 100, 500, 2_000], 2_000) }
+}
+
+/// What the largest crowd takes up.
+pub fn needs(bench: &Bench) -> Needs {
+    let (balancers, upstreams) = sizes(bench);
+    let most = f64::from(balancers.iter().copied().max().unwrap_or(0));
+    let memory_mb = PROGRAM_MB + (most * upstreams as f64 * HOLLOW_KB / 1024.0) as u64;
+    Needs { processes: 0, memory_mb }
+}
+
+pub fn plan(bench: &Bench) -> (String, Needs) {
+    let (balancers, upstreams) = sizes(bench);
+    let starts = format!("updates: {balancers:?} hollow balancers in turn, each with {upstreams} upstreams");
+    (starts, needs(bench))
+}
+
+/// Points of one slope, gathered size by size.
+#[derive(Default)]
+struct Gathered {
+    median: Vec<Point>,
+    last: Vec<Point>,
+    worst: f64,
+}
+
+impl Gathered {
+    /// The middle of the rounds, and the worst of all.
+    fn add(&mut self, balancers: u32, rounds: &[Lags]) {
+        let x = f64::from(balancers);
+        let middle = |of: fn(&Lags) -> f64| Lags::new(rounds.iter().map(of).collect()).median();
+        self.median.push(Point { x, y: middle(Lags::median) });
+        self.last.push(Point { x, y: middle(Lags::last) });
+        self.worst = rounds.iter().map(Lags::last).fold(self.worst, f64::max);
+    }
+
+    fn slopes(self, name: &str, remark: &str) -> [Slope; 2] {
+        let remark = format!("{remark}; the slowest of all took {:.1} ms", self.worst);
+        [
+            Slope::new(format!("updates: {name}, median balancer"), "balancers", "ms", self.median)
+                .remark(&remark),
+            Slope::new(format!("updates: {name}, last balancer"), "balancers", "ms", self.last)
+                .remark(&remark),
+        ]
+    }
+}
+
+pub async fn measure(bench: &Bench) -> Result<Vec<Slope>> {
+    let (sizes, upstreams) = sizes(bench);
+    let rounds = if bench.quick { 3 } else { 9 };
+    let bursts = if bench.quick { 1 } else { 3 };
+    let (mut one, mut burst, mut slow, mut others) =
+        (Gathered::default(), Gathered::default(), Gathered::default(), Gathered::default());
+    let (mut answers, mut processor) = (Vec::new(), Vec::new());
+    for &balancers in sizes {
+        let x = f64::from(balancers);
+        let mut scene = Scene::start(balancers, upstreams, Learning::Told, bench.seed).await?;
+        let (mut lags, before) = (Vec::new(), scene.crowd.processor());
+        for _ in 0..rounds {
+            let told = scene.change(1)?;
+            lags.push(scene.lags(told).await?.0);
+            scene.all_waiting().await?;
+        }
+        let spent = scene.crowd.processor().saturating_sub(before).as_secs_f64();
+        processor.push(Point { x, y: spent * 1e6 / x / rounds as f64 });
+        one.add(balancers, &lags);
+
+        let (mut lags, before) = (Vec::new(), scene.all_waiting().await?.total);
+        for _ in 0..bursts {
+            let told = scene.change(BURST)?;
+            lags.push(scene.lags(told).await?.0);
+            scene.all_waiting().await?;
+        }
+        let passed = scene.all_waiting().await?.total.since(&before);
+        answers.push(Point { x, y: passed.changes as f64 / x / bursts as f64 });
+        burst.add(balancers, &lags);
+
+        scene.crowd.stall(true);
+        let (mut all, mut quick) = (Vec::new(), Vec::new());
+        for _ in 0..rounds {
+            // Past the last one's standstill, and not in step with it.
+            sleep(SLOW.every * 3 / 2).await;
+            let told = scene.change(1)?;
+            let (of_all, of_others) = scene.lags(told).await?;
+            all.push(of_all);
+            quick.push(of_others);
+        }
+        slow.add(balancers, &all);
+        others.add(balancers, &quick);
+    }
+    let mut slopes = Vec::new();
+    let hollow = format!("hollow balancers with {upstreams} upstreams each");
+    slopes.extend(one.slopes("one change", &format!("{hollow}, {rounds} changes")));
+    let bursts = format!("{hollow}, {bursts} times {BURST} changes, from the first to all of them in force");
+    slopes.extend(burst.slopes("burst of 200", &bursts));
+    slopes.push(
+        Slope::new("updates: burst of 200, answers a balancer", "balancers", "answers", answers)
+            .remark("a watcher that is busy is told several changes in one answer"),
+    );
+    let still = format!(
+        "{hollow}; one in twenty stands still for {} of every {} ms",
+        SLOW.stall.as_millis(),
+        SLOW.every.as_millis()
+    );
+    slopes.extend(slow.slopes("one in twenty slow", &still));
+    slopes.extend(others.slopes("one in twenty slow, the others", &still));
+    slopes.push(
+        Slope::new("updates: one change, processor time of a balancer", "balancers", "us", processor).remark(
+            format!("{hollow}: the answer read, the module told, the next watch sent, and its share of rest"),
+        ),
+    );
+    Ok(slopes)
+}
