--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -1,7 +1,10 @@
 //! Stand-ins on loopback sockets around real balancers, and what is measured with them.
 
+pub mod balancer;
+pub mod callers;
 pub mod discovery;
 pub mod hollow;
 pub mod machine;
 pub mod report;
 pub mod slope;
+pub mod upstreams;
