--- a/rig/src/discovery.rs
+++ b/rig/src/discovery.rs
@@ -218,7 +218,11 @@
     /// The same at an address.
     pub fn start_at(address: SocketAddr) -> io::Result<Discovery> {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-        let listener = runtime.block_on(async { listen(address) })?;
+        // Entered and not blocked on: the caller may be within a runtime of its own.
+        let listener = {
+            let _context = runtime.enter();
+            listen(address)?
+        };
         let address = listener.local_addr()?;
         let (sender, receiver) = orders::unbounded_channel();
         let serve = move || LocalSet::new().block_on(&runtime, run(address, listener, receiver));
