--- a/rig/src/balancer.rs
+++ b/rig/src/balancer.rs
@@ -190,6 +190,11 @@
         Usage::of(self.id)
     }
 
+    /// Its process.
+    pub fn id(&self) -> u32 {
+        self.id
+    }
+
     /// Where its configuration stands.
     pub fn config(&self) -> PathBuf {
         self.config.path().to_owned()
--- /dev/null
+++ b/sloeline/tests/scale.rs
@@ -0,0 +1,87 @@
+//! What a call and a change cost, as counts, measured by the rig around the real program.
+
+use std::path::Path;
+use std::time::Duration;
+
+use zincstand_rig::balancer::{Balancer, Settings, Usage};
+use zincstand_rig::callers::Held;
+use zincstand_rig::discovery::{Discovery, Entry, Lifecycle, Traffic};
+use zincstand_rig::upstreams::Upstreams;
+
+/// Nothing takes this long.
+const LONG: Duration = Duration::from_secs(30);
+
+async fn start(discovery: &Discovery, entries: Vec<Entry>) -> Balancer {
+    discovery.set(entries).expect("a list");
+    // A deadline and a watch that outlast the test, however busy the machine is.
+    let settings =
+        Settings { deadline_ms: 30_000, drain_grace_ms: 90_000, ..Settings::alone(discovery.address()) };
+    Balancer::start(Path::new(env!("CARGO_BIN_EXE_sloeline")), &settings).await.expect("it starts")
+}
+
+/// What a change of so many entries makes pass, until the balancer watches again.
+async fn traffic(discovery: &Discovery, changed: Vec<Entry>) -> Traffic {
+    while discovery.counted().expect("counts").waiting == 0 {
+        tokio::task::yield_now().await;
+    }
+    let before = discovery.counted().expect("counts").total;
+    let version = discovery.change(changed).expect("a version").version;
+    while !discovery.seen().expect("watches").iter().any(|seen| seen.version == version) {
+        tokio::task::yield_now().await;
+    }
+    discovery.counted().expect("counts").total.since(&before)
+}
+
+#[tokio::test]
+async fn a_call_reaches_one_upstream_however_many_are_known() {
+    for known in [10, 200, 1_000] {
+        let (upstreams, discovery) =
+            (Upstreams::start(known).expect("upstreams"), Discovery::start().expect("discovery"));
+        let balancer = start(&discovery, upstreams.entries()).await;
+        let mut callers = Held::connect(balancer.address, 1).expect("a connection");
+        for _ in 0..20 {
+            callers.send().expect("a call");
+            assert_eq!(callers.receive(LONG).expect("an answer"), [200]);
+        }
+        assert_eq!(upstreams.calls().iter().sum::<u64>(), 20, "{known} known");
+        assert!(upstreams.connections() <= 20, "{known} known: {} connections", upstreams.connections());
+    }
+}
+
+#[tokio::test]
+async fn a_change_costs_one_call_and_bytes_by_the_entries_that_changed_and_not_by_those_known() {
+    let address = |i: usize| ([127, 0, 0, 1], 1_000 + i as u16).into();
+    let entries = |number| (0..number).map(|i| Entry::serving(i, 1, address(i))).collect::<Vec<_>>();
+    let mut bytes = Vec::new();
+    for known in [34, 200, 2_000] {
+        let discovery = Discovery::start().expect("discovery");
+        let _balancer = start(&discovery, entries(known)).await;
+        for changed in [1, 11, 21] {
+            let changed: Vec<_> = entries(changed).iter().map(|e| e.now(Lifecycle::Draining)).collect();
+            let told = traffic(&discovery, changed).await;
+            assert_eq!((told.calls, told.changes, told.whole, told.connections), (1, 1, 0, 0));
+            bytes.push(told.bytes_out);
+        }
+    }
+    let (one, eleven, twenty_one) = (bytes[0], bytes[1], bytes[2]);
+    let an_entry = (twenty_one - eleven) / 10;
+    // The length's own digits and no more.
+    assert!(eleven.abs_diff(one + 10 * an_entry) <= 2, "{bytes:?}");
+    assert!(bytes.chunks(3).all(|b| b == &bytes[..3]), "{bytes:?}");
+}
+
+#[tokio::test]
+async fn a_balancer_ends_with_its_owner() {
+    let discovery = Discovery::start().expect("discovery");
+    let balancer = start(&discovery, vec![Entry::serving(0, 1, ([127, 0, 0, 1], 1).into())]).await;
+    let id = balancer.id();
+    Usage::of(id).expect("it runs");
+    drop(balancer);
+    let ended = || {
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        status.is_empty() || status.contains("State:\tZ")
+    };
+    while !ended() {
+        tokio::task::yield_now().await;
+    }
+}
--- a/zincstand/src/scale/control.rs
+++ b/zincstand/src/scale/control.rs
@@ -17,8 +17,8 @@
 const DOWN: Duration = Duration::from_secs(8);
 const QUICK: Duration = Duration::from_secs(2);
 /// How often each event happens, and how far apart.
-const TIMES: u32 = 10;
-const APART: Duration = Duration::from_millis(400);
+const TIMES: u32 = 30;
+const APART: Duration = Duration::from_millis(150);
 /// Before the first measurement: what the start left over.
 const SETTLED: Duration = Duration::from_secs(1);
 
@@ -103,7 +103,7 @@
         sleep(APART).await;
     }
     let events = beyond_idle(&spent(&sides, &before)?, &idle);
-    let processor = points(&events, |e| e.processor_us);
+    let processor = events.iter().map(|e| Point { x: e.known, y: e.processor_us }).collect();
     slopes.push(Slope::new("control/reload/processor", "upstreams known", "us a SIGHUP", processor));
 
     for (name, mode) in [("discovery-down", Mode::Down), ("discovery-silent", Mode::Silent)] {
@@ -203,7 +203,7 @@
     Ok(sides.iter().zip(&now).zip(before).map(one).collect())
 }
 
-/// What one of the events cost that happened [`TIMES`] over a span.
+/// What one of the events of a span cost.
 #[derive(Clone, Copy)]
 struct Event {
     known: f64,
@@ -211,47 +211,27 @@
     bytes: f64,
 }
 
-/// What a span took beyond as long a one without events, by event.
+/// What a span took beyond as long a one without events, by event: by answers with news, so that two changes told in
+/// one answer count as one; where there were none, by what was ordered [`TIMES`].
 fn beyond_idle(spent: &[Spent], idle: &[Spent]) -> Vec<Event> {
     let one = |(s, i): (&Spent, &Spent)| {
-        let event = |s: f64, i: f64, span: f64| (s - i * span).max(0.0) / f64::from(TIMES);
-        let span = s.seconds / i.seconds;
-        Event {
-            known: s.known,
-            processor_us: event(s.processor_us, i.processor_us, span),
-            // Watches that were cut short by news have no empty answers; all bytes count for the news.
-            bytes: s.bytes() / f64::from(TIMES),
-        }
+        let told = s.traffic.changes + s.traffic.whole;
+        let events = if told > 0 { told as f64 } else { f64::from(TIMES) };
+        let idle = i.processor_us * s.seconds / i.seconds;
+        // Watches that news cut short have no empty answers: all bytes are the news'.
+        Event { known: s.known, processor_us: (s.processor_us - idle) / events, bytes: s.bytes() / events }
     };
     spent.iter().zip(idle).map(one).collect()
 }
 
-fn points<T>(of: &[T], y: impl Fn(&T) -> f64) -> Vec<Point>
-where
-    T: Known,
-{
-    of.iter().map(|t| Point { x: t.known(), y: y(t) }).collect()
-}
-
-trait Known {
-    fn known(&self) -> f64;
-}
-
-impl Known for Spent {
-    fn known(&self) -> f64 {
-        self.known
-    }
-}
-
-impl Known for Event {
-    fn known(&self) -> f64 {
-        self.known
-    }
-}
-
 fn per_second(name: &str, spent: &[Spent]) -> Vec<Slope> {
     let slope = |what: &str, unit: &str, y: &dyn Fn(&Spent) -> f64| {
-        Slope::new(format!("{name}/{what}"), "upstreams known", unit, points(spent, |s| y(s) / s.seconds))
+        Slope::new(
+            format!("{name}/{what}"),
+            "upstreams known",
+            unit,
+            spent.iter().map(|s| Point { x: s.known, y: y(s) / s.seconds }).collect(),
+        )
     };
     vec![
         slope("processor", "us a second", &|s| s.processor_us),
@@ -262,7 +242,12 @@
 
 fn per_event(name: &str, event: &str, events: &[Event]) -> Vec<Slope> {
     let slope = |what: &str, unit: &str, y: fn(&Event) -> f64| {
-        Slope::new(format!("{name}/{what}"), "upstreams known", &format!("{unit} {event}"), points(events, y))
+        Slope::new(
+            format!("{name}/{what}"),
+            "upstreams known",
+            &format!("{unit} {event}"),
+            events.iter().map(|e| Point { x: e.known, y: y(e) }).collect(),
+        )
     };
     vec![slope("processor", "us", |e| e.processor_us), slope("bytes", "bytes", |e| e.bytes)]
 }
--- a/zincstand/src/scale/mod.rs
+++ b/zincstand/src/scale/mod.rs
@@ -12,6 +12,7 @@
 
 use anyhow::{Context, Result, anyhow, bail};
 use clap::{Args, Subcommand};
+use tokio::signal::unix::{SignalKind, signal};
 use zincstand_rig::machine::{Machine, Needs, most_descriptors};
 use zincstand_rig::report::{Report, Slope};
 
@@ -145,6 +146,17 @@
     if changed { revision + "+" } else { revision }
 }
 
+/// Waits for Ctrl-C or SIGTERM.
+async fn stopped() {
+    match signal(SignalKind::terminate()) {
+        Ok(mut terminate) => tokio::select! {
+            _ = tokio::signal::ctrl_c() => {}
+            _ = terminate.recv() => {}
+        },
+        Err(_) => drop(tokio::signal::ctrl_c().await),
+    }
+}
+
 /// Measures, prints and writes the report.
 pub fn run(Scale { options, part }: Scale) -> Result<()> {
     let bench = Bench::new(&options)?;
@@ -164,6 +176,7 @@
         let all = async {
             let mut slopes = Vec::new();
             for part in parts {
+                eprintln!("{part:?} ...");
                 slopes.extend(part.measure(&bench).await?);
             }
             anyhow::Ok(slopes)
@@ -171,7 +184,7 @@
         tokio::select! {
             slopes = all => slopes,
             // What was under way is dropped, and each child ends with its owner.
-            _ = tokio::signal::ctrl_c() => Err(anyhow!("interrupted; all that was started has been ended")),
+            () = stopped() => Err(anyhow!("interrupted; all that was started has been ended")),
         }
     })?;
     let report = Report {
