--- a/rig/src/callers.rs
+++ b/rig/src/callers.rs
@@ -34,7 +34,7 @@
 pub struct Outcome {
     /// Calls whose time came.
     pub calls: u64,
-    /// From the time that was meant to the last byte, in nanoseconds.
+    /// Of calls answered 200, from the time that was meant to the last byte, in nanoseconds.
     pub latency: Histogram<u64>,
     /// Answers by status.
     pub answers: BTreeMap<u16, u64>,
@@ -129,8 +129,10 @@
             let call = state.connections[connection].1.take();
             let keep = match (&answer, call) {
                 (Some((status, last)), Some(intended)) => {
-                    let took = now.saturating_duration_since(intended).as_nanos() as u64;
-                    state.outcome.latency.saturating_record(took.max(1));
+                    if *status == 200 {
+                        let took = now.saturating_duration_since(intended).as_nanos() as u64;
+                        state.outcome.latency.saturating_record(took.max(1));
+                    }
                     *state.outcome.answers.entry(*status).or_default() += 1;
                     !last
                 }
--- a/zincstand/src/scale/added_time.rs
+++ b/zincstand/src/scale/added_time.rs
@@ -15,9 +15,10 @@
 
 /// Calls a second at a balancer, and for how many seconds: slower ones longer, for their high quantiles.
 const RATES: [(f64, f64); 4] = [(225.0, 8.0), (450.0, 7.0), (1125.0, 6.0), (2250.0, 5.0)];
-const QUICK_RATES: [(f64, f64); 2] = [(225.0, 1.5), (2250.0, 1.0)];
+const QUICK_RATES: [(f64, f64); 2] = [(225.0, 1.2), (2250.0, 0.8)];
 /// A balancer is new for so many calls.
 const WARM_UP: (f64, f64) = (450.0, 1.0);
+const QUICK_WARM_UP: (f64, f64) = (450.0, 0.3);
 /// Kept connections to each target.
 const CONNECTIONS: usize = 20;
 /// Descriptors and idle time with which a connection to every upstream stays.
@@ -94,7 +95,8 @@
         rates(bench).iter().map(|_| VARIANTS.iter().map(|_| Vec::new()).collect()).collect();
     for &size in &bench.upstreams {
         let rig = Rig::start(bench, size).await?;
-        rig.call(WARM_UP.0, WARM_UP.1).await?;
+        let (rate, seconds) = if bench.quick { QUICK_WARM_UP } else { WARM_UP };
+        rig.call(rate, seconds).await?;
         for (r, &(rate, seconds)) in rates(bench).iter().enumerate() {
             for (v, cell) in rig.measure(rate, seconds).await?.into_iter().enumerate() {
                 cells[r][v].push(cell);
--- a/zincstand/src/scale/control.rs
+++ b/zincstand/src/scale/control.rs
@@ -15,9 +15,10 @@
 /// How long nothing happens, and how long discovery is down and then silent.
 const IDLE: Duration = Duration::from_secs(15);
 const DOWN: Duration = Duration::from_secs(8);
-const QUICK: Duration = Duration::from_secs(2);
+const QUICK: Duration = Duration::from_millis(1500);
 /// How often each event happens, and how far apart.
 const TIMES: u32 = 30;
+const QUICK_TIMES: u32 = 10;
 const APART: Duration = Duration::from_millis(150);
 /// Before the first measurement: what the start left over.
 const SETTLED: Duration = Duration::from_secs(1);
@@ -42,7 +43,7 @@
 pub fn plan(bench: &Bench) -> (String, Needs) {
     let processes = bench.upstreams.len();
     let (idle, down) = spans(bench);
-    let seconds = (SETTLED + idle + 2 * down + (NEWS.len() as u32 + 1) * TIMES * APART).as_secs();
+    let seconds = (SETTLED + idle + 2 * down + (NEWS.len() as u32 + 1) * times(bench) * APART).as_secs();
     let text =
         format!("control: {processes} balancers and as many discoveries at once, no calls, {seconds} s");
     (
@@ -55,6 +56,10 @@
     )
 }
 
+fn times(bench: &Bench) -> u32 {
+    if bench.quick { QUICK_TIMES } else { TIMES }
+}
+
 fn spans(bench: &Bench) -> (Duration, Duration) {
     if bench.quick { (QUICK, QUICK) } else { (IDLE, DOWN) }
 }
@@ -76,14 +81,14 @@
     let mut by_entries = Vec::new();
     for (name, news) in NEWS {
         let before = taken(&sides)?;
-        for turn in 0..TIMES {
+        for turn in 0..times(bench) {
             for side in &sides {
                 side.tell(news, turn)?;
             }
             sleep(APART).await;
         }
         let spent = spent(&sides, &before)?;
-        let events = beyond_idle(&spent, &idle);
+        let events = beyond_idle(&spent, &idle, times(bench));
         slopes.extend(per_event(&format!("control/{name}"), "a change", &events));
         if let (News::Part(part), Some(event)) = (news, events.last()) {
             by_entries.push(Event { known: changed(part, event.known as usize) as f64, ..*event });
@@ -96,13 +101,13 @@
     }
 
     let before = taken(&sides)?;
-    for _ in 0..TIMES {
+    for _ in 0..times(bench) {
         for side in &sides {
             side.balancer.reload(&side.settings)?;
         }
         sleep(APART).await;
     }
-    let events = beyond_idle(&spent(&sides, &before)?, &idle);
+    let events = beyond_idle(&spent(&sides, &before)?, &idle, times(bench));
     let processor = events.iter().map(|e| Point { x: e.known, y: e.processor_us }).collect();
     slopes.push(Slope::new("control/reload/processor", "upstreams known", "us a SIGHUP", processor));
 
@@ -212,11 +217,11 @@
 }
 
 /// What a span took beyond as long a one without events, by event: by answers with news, so that two changes told in
-/// one answer count as one; where there were none, by what was ordered [`TIMES`].
-fn beyond_idle(spent: &[Spent], idle: &[Spent]) -> Vec<Event> {
+/// one answer count as one; where there were none, by what was ordered so many times.
+fn beyond_idle(spent: &[Spent], idle: &[Spent], times: u32) -> Vec<Event> {
     let one = |(s, i): (&Spent, &Spent)| {
         let told = s.traffic.changes + s.traffic.whole;
-        let events = if told > 0 { told as f64 } else { f64::from(TIMES) };
+        let events = if told > 0 { told as f64 } else { f64::from(times) };
         let idle = i.processor_us * s.seconds / i.seconds;
         // Watches that news cut short have no empty answers: all bytes are the news'.
         Event { known: s.known, processor_us: (s.processor_us - idle) / events, bytes: s.bytes() / events }
--- a/zincstand/src/scale/memory.rs
+++ b/zincstand/src/scale/memory.rs
@@ -34,7 +34,7 @@
 pub fn plan(bench: &Bench) -> (String, Needs) {
     let most = bench.most_upstreams();
     let text = format!(
-        "memory: one balancer at a time, some 25 in turn, {} listeners in this process, up to {} connections, 60 s",
+        "memory: one balancer at a time, some 25 in turn, {} listeners in this process, up to {} connections, 30 s",
         most.max(KNOWN),
         CONNECTIONS[CONNECTIONS.len() - 1]
     );
@@ -47,7 +47,6 @@
     for &known in &bench.upstreams {
         let (one, _) = One::start(bench, known, |_| {}).await?;
         points.push(one.resident(known).await?);
-        one.end().await?;
     }
     slopes.push(slope("memory/upstreams", "upstreams known", points));
 
@@ -60,7 +59,6 @@
         held.receive(LONG)?;
         points.push(one.resident(connections).await?);
         drop(held);
-        one.end().await?;
     }
     let what = format!("each has carried one call; {KNOWN} upstreams known");
     slopes.push(slope("memory/connections", "callers' connections", points).remark(what));
@@ -75,7 +73,6 @@
         reached.push(upstreams.calls().iter().sum::<u64>().to_string());
         held.receive(LONG)?;
         drop(held);
-        one.end().await?;
     }
     slopes.push(
         slope("memory/in-flight", "calls not answered yet, each on its connection", points)
@@ -86,7 +83,6 @@
     for classes in CLASSES {
         let (one, _) = One::start(bench, KNOWN, |s| s.classes = classes).await?;
         points.push(one.resident(classes).await?);
-        one.end().await?;
     }
     slopes.push(slope("memory/classes", "classes", points));
 
@@ -94,7 +90,6 @@
     for tenants in TENANTS {
         let (one, _) = One::start(bench, KNOWN, |s| s.tenants = tenants).await?;
         points.push(one.resident(tenants).await?);
-        one.end().await?;
     }
     slopes.push(slope("memory/tenants", "tenants", points));
 
@@ -145,7 +140,6 @@
         }
         points.push(one.resident(changes).await?);
     }
-    one.end().await?;
     let what = format!("{known} upstreams known, {BULK} changes a version; x counts changed entries");
     Ok(slope(name, "changes so far", points).remark(what))
 }
@@ -188,8 +182,4 @@
         let usage = self.balancer.usage().context("the balancer has ended under measurement")?;
         Ok(Point { x: x as f64, y: usage.resident_kb as f64 })
     }
-
-    async fn end(self) -> Result<()> {
-        self.balancer.stop().await
-    }
 }
