Measure updates to real processes by their next watch

Beside the hollow crowd, up to a hundred processes: one has taken a version over once its next watch asks from there.

--- a/zincstand/src/scale/crowd.rs
+++ b/zincstand/src/scale/crowd.rs
@@ -16,9 +16,9 @@
 /// Zones of the size to design for.
 const ZONES: u32 = 14;
 /// Nothing takes this long; if it does, that is told and not waited for.
-const LONG: Duration = Duration::from_secs(30);
+pub const LONG: Duration = Duration::from_secs(30);
 /// Between two looks; every figure is timed where it arises and not by the look.
-const LOOK: Duration = Duration::from_millis(2);
+pub const LOOK: Duration = Duration::from_millis(2);
 /// One in twenty stands still for four fifths of its time.
 pub const SLOW: Slow =
     Slow { one_in: 20, stall: Duration::from_millis(200), every: Duration::from_millis(250) };
--- a/zincstand/src/scale/updates.rs
+++ b/zincstand/src/scale/updates.rs
@@ -1,20 +1,27 @@
 //! The slope of updates: from the moment discovery has a change to the moment the last balancer acts on it.
 
-use anyhow::Result;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use anyhow::{Result, bail};
 use tokio::time::sleep;
+use zincstand_rig::balancer::{Balancer, Settings};
+use zincstand_rig::discovery::{Discovery, Lifecycle, Told};
 use zincstand_rig::hollow::Learning;
 use zincstand_rig::machine::Needs;
 use zincstand_rig::report::Slope;
 use zincstand_rig::slope::Point;
 
 use super::Bench;
-use super::crowd::{Lags, SLOW, Scene};
+use super::crowd::{DRAIN_GRACE, LONG, LOOK, Lags, SLOW, Scene, entry};
 
 /// Changes of a burst.
 const BURST: usize = 200;
 /// What a hollow balancer holds, by upstream known, in KB; and the program with its stand-ins, in MB.
 const HOLLOW_KB: f64 = 1.0;
 const PROGRAM_MB: u64 = 200;
+/// What a process may use.
+const PROCESS_MB: u32 = 32;
 
 /// How many balancers, and how many upstreams each knows.
 pub fn sizes(bench: &Bench) -> (&'static [u32], usize) {
@@ -31,8 +38,65 @@
 
 pub fn plan(bench: &Bench) -> (String, Needs) {
     let (balancers, upstreams) = sizes(bench);
-    let starts = format!("updates: {balancers:?} hollow balancers in turn, each with {upstreams} upstreams");
-    (starts, needs(bench))
+    let processes = processes(bench);
+    let starts = format!(
+        "updates: {balancers:?} hollow balancers in turn, then {processes:?} processes, with {upstreams} upstreams"
+    );
+    let most = processes.iter().copied().max().unwrap_or(0);
+    let memory_mb = PROGRAM_MB + u64::from(PROCESS_MB) * most as u64;
+    (starts, needs(bench).or(Needs { processes: most, memory_mb }))
+}
+
+/// How many processes.
+fn processes(bench: &Bench) -> &'static [usize] {
+    if bench.quick { &[5, 10, 15, 20] } else { &[10, 25, 50, 100] }
+}
+
+/// The same for processes of their own: one acts on a version once its next watch asks from there, since it hands
+/// its module what it was told before it asks again.
+async fn real(bench: &Bench, rounds: usize) -> Result<Gathered> {
+    let (sizes, (_, upstreams)) = (processes(bench), sizes(bench));
+    let discovery = Discovery::start()?;
+    discovery.set((0..upstreams).map(entry).collect())?;
+    let (mut running, mut gathered, mut changed) = (Vec::new(), Gathered::default(), 0);
+    for &processes in sizes {
+        let mut settings = Settings::knowing(&[], discovery.address());
+        settings.balancers = processes as u32;
+        settings.memory_mb = PROCESS_MB;
+        settings.drain_grace_ms = DRAIN_GRACE.as_millis() as u32;
+        while running.len() < processes {
+            running.push(Balancer::start(&bench.balancer, &settings).await?);
+        }
+        let mut lags = Vec::new();
+        for _ in 0..rounds {
+            // Between two changes at no fixed point of a watch.
+            sleep(Duration::from_millis(130)).await;
+            let told = discovery.change(vec![entry(changed).now(Lifecycle::Draining)])?;
+            changed += 1;
+            lags.push(seen(&discovery, told, processes).await?);
+        }
+        gathered.add(processes as u32, &lags);
+    }
+    for balancer in running {
+        balancer.stop().await?;
+    }
+    Ok(gathered)
+}
+
+/// How long after a change so many watchers had taken its version over.
+async fn seen(discovery: &Discovery, told: Told, watchers: usize) -> Result<Lags> {
+    let (mut first, late) = (BTreeMap::new(), Instant::now() + LONG);
+    while first.len() < watchers {
+        for seen in discovery.seen()?.into_iter().filter(|seen| seen.version >= told.version) {
+            first.entry(seen.connection).or_insert(seen.at);
+        }
+        if Instant::now() > late {
+            bail!("only {} of {watchers} processes have taken a change over within {LONG:?}", first.len());
+        }
+        sleep(LOOK).await;
+    }
+    let lag = |at: &Instant| at.saturating_duration_since(told.at).as_secs_f64() * 1e3;
+    Ok(Lags::new(first.values().map(lag).collect()))
 }
 
 /// Points of one slope, gathered size by size.
@@ -128,5 +192,7 @@
             format!("{hollow}: the answer read, the module told, the next watch sent, and its share of rest"),
         ),
     );
+    let processes = format!("processes of their own with {upstreams} upstreams, {rounds} changes");
+    slopes.extend(real(bench, rounds).await?.slopes("processes, one change", &processes));
     Ok(slopes)
 }
