--- a/rig/src/balancer.rs
+++ b/rig/src/balancer.rs
@@ -13,7 +13,7 @@
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Lines};
 use tokio::net::TcpStream;
 use tokio::process::{Child, ChildStderr, Command};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// How long a start, or an end by SIGTERM, may take.
 const LONG: Duration = Duration::from_secs(20);
@@ -209,18 +209,6 @@
         self.signal(Signal::HUP)
     }
 
-    /// Ends it by SIGTERM, and by SIGKILL if that takes too long.
-    ///
-    /// # Errors
-    /// It had ended before.
-    pub async fn stop(mut self) -> Result<()> {
-        self.signal(Signal::TERM)?;
-        if timeout(END, self.child.wait()).await.is_err() {
-            self.child.kill().await?;
-        }
-        Ok(())
-    }
-
     fn signal(&self, signal: Signal) -> Result<()> {
         // Not yet waited for, so that the id is still its own.
         let id = self.child.id().and_then(|id| Pid::from_raw(id as i32)).context("the balancer has ended")?;
@@ -228,6 +216,24 @@
     }
 }
 
+/// Ends balancers by SIGTERM, all at once, and those that take too long by SIGKILL; each by its own id.
+///
+/// # Errors
+/// One had ended before.
+pub async fn stop(balancers: impl IntoIterator<Item = Balancer>) -> Result<()> {
+    let mut balancers: Vec<Balancer> = balancers.into_iter().collect();
+    for balancer in &balancers {
+        balancer.signal(Signal::TERM)?;
+    }
+    let late = Instant::now() + END;
+    for balancer in &mut balancers {
+        if timeout_at(late, balancer.child.wait()).await.is_err() {
+            balancer.child.kill().await?;
+        }
+    }
+    Ok(())
+}
+
 /// The address in the first line of its log.
 async fn address(log: &mut Lines<BufReader<ChildStderr>>) -> Result<SocketAddr> {
     let mut said = String::new();
--- a/zincstand/src/scale/added_time.rs
+++ b/zincstand/src/scale/added_time.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result, anyhow};
-use zincstand_rig::balancer::{Balancer, Settings};
+use zincstand_rig::balancer::{Balancer, Settings, stop};
 use zincstand_rig::callers::{Outcome, Target, open_loop};
 use zincstand_rig::discovery::Discovery;
 use zincstand_rig::machine::Needs;
@@ -102,7 +102,7 @@
                 cells[r][v].push(cell);
             }
         }
-        rig.stop().await?;
+        stop(rig.sides.into_iter().map(|side| side.balancer)).await?;
     }
     let mut slopes = Vec::new();
     for (v, variant) in VARIANTS.iter().enumerate() {
@@ -206,11 +206,4 @@
         }
         Ok(cells)
     }
-
-    async fn stop(self) -> Result<()> {
-        for side in self.sides {
-            side.balancer.stop().await?;
-        }
-        Ok(())
-    }
 }
--- a/zincstand/src/scale/control.rs
+++ b/zincstand/src/scale/control.rs
@@ -4,7 +4,7 @@
 
 use anyhow::{Context, Result};
 use tokio::time::{Instant, sleep};
-use zincstand_rig::balancer::{Balancer, Settings, Usage};
+use zincstand_rig::balancer::{Balancer, Settings, Usage, stop};
 use zincstand_rig::discovery::{Discovery, Entry, Mode, Traffic};
 use zincstand_rig::machine::Needs;
 use zincstand_rig::report::Slope;
@@ -123,9 +123,7 @@
         }
         sleep(SETTLED).await;
     }
-    for side in sides {
-        side.balancer.stop().await?;
-    }
+    stop(sides.into_iter().map(|side| side.balancer)).await?;
     Ok(slopes)
 }
 
--- a/zincstand/src/scale/updates.rs
+++ b/zincstand/src/scale/updates.rs
@@ -5,7 +5,7 @@
 
 use anyhow::{Result, bail};
 use tokio::time::sleep;
-use zincstand_rig::balancer::{Balancer, Settings};
+use zincstand_rig::balancer::{Balancer, Settings, stop};
 use zincstand_rig::discovery::{Discovery, Lifecycle, Told};
 use zincstand_rig::hollow::Learning;
 use zincstand_rig::machine::Needs;
@@ -44,7 +44,7 @@
     );
     let most = processes.iter().copied().max().unwrap_or(0);
     let memory_mb = PROGRAM_MB + u64::from(PROCESS_MB) * most as u64;
-    (starts, needs(bench).or(Needs { processes: most, memory_mb }))
+    (starts, needs(bench).or(Needs { processes: most, memory_mb, descriptors: 0 }))
 }
 
 /// How many processes.
@@ -60,7 +60,7 @@
     discovery.set((0..upstreams).map(entry).collect())?;
     let (mut running, mut gathered, mut changed) = (Vec::new(), Gathered::default(), 0);
     for &processes in sizes {
-        let mut settings = Settings::knowing(&[], discovery.address());
+        let mut settings = Settings::alone(discovery.address());
         settings.balancers = processes as u32;
         settings.memory_mb = PROCESS_MB;
         settings.drain_grace_ms = DRAIN_GRACE.as_millis() as u32;
@@ -77,9 +77,7 @@
         }
         gathered.add(processes as u32, &lags);
     }
-    for balancer in running {
-        balancer.stop().await?;
-    }
+    stop(running).await?;
     Ok(gathered)
 }
 
