Give a child balancer none of its owner's output

Cause: with kill_on_drop turned off on trial, the children that were left behind held the test's output open, and who read it waited for 20 minutes. Their log is a pipe of their own; they have nothing to say elsewhere.

--- a/rig/src/balancer.rs
+++ b/rig/src/balancer.rs
@@ -151,7 +151,11 @@
         for name in ["EDGE_FD", "EDGE_MANAGEMENT", "EDGE_LISTEN", "EDGE_NAME", "EDGE_DISCOVERY", "TMPDIR"] {
             command.env_remove(name);
         }
-        command.env("EDGE_CONFIG", config.path()).stdin(Stdio::null()).stderr(Stdio::piped());
+        command
+            .env("EDGE_CONFIG", config.path())
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped());
         let child = command.kill_on_drop(true).spawn();
         let mut child = child.with_context(|| format!("cannot start {}", program.display()))?;
         let id = child.id().context("it has ended")?;
