--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -781,6 +781,25 @@
     assert_eq!(world.asked, 2);
 }
 
+#[test]
+fn discovery_is_asked_within_seconds_where_the_settings_allow_a_minute() {
+    for seed in 0..20 {
+        let mut s = settings(&[Effect::Safe]);
+        s.discovery = Discovery::Ask;
+        s.rules.ask_within = 60 * SECOND;
+        let mut world = World::new(s, vec![ServerEntry::new(0)], seed);
+        let until = world.now + 3 * SECOND;
+        world.run(until, |_| None);
+        assert_eq!(world.asked, 1);
+        for failed in 1..10 {
+            world.list(ListKind::Failed, Vec::new());
+            let until = world.now + 1200 * MS;
+            world.run(until, |_| None);
+            assert_eq!(world.asked, 1 + failed);
+        }
+    }
+}
+
 #[test]
 fn a_complete_list_removes_what_it_does_not_name() {
     let mut world = world(&[Effect::Safe], 3);
