Begin the next call to discovery beside one that hangs, and bound both by 6 s

Seen, on a virtual clock over loopback (eight ways to fail, pushed and asked, graces of 1 ms to 90 s, twelve moments of return; longest span from the return to the list): a list that trickles held its call for the patience of the head and 6 s more, since each frame renewed the patience: 5.5 to 7.6 s with a grace of up to 2.5 s, 27.9 s with 90 s. A silent watch with a grace of 90 s waited 20 s and its patience: 21.9 s. After a new configuration the whole list took 5.7 to 7.6 s behind one that trickled, where 4 s are allowed. A discovery whose whole list takes 1 s was never heard with a grace of 1 ms or 250 ms: each call was given up after the patience. Refused, reset, 503 and no list were heard within 0.8 s where lists are pushed.

At fault: `call` with LIST_TIME on top of the patience, `ask` with a patience for each frame, and the upper bounds of wait and patience in discovery.rs.

Change: a call that is not whole within its wait and its patience counts as failed as before, but is held, one at a time and for 2.2 s in all, while the next ones begin; the list that is whole first counts. Waits end at 1.2 s, patience at 0.8 s, pauses at 0.5 s: two calls and a pause stay under 6 s. Where lists are asked for, the watch waits for the module's word after a failure, and a word that comes while a call is out ends it no more.

--- a/sloeline/src/discovery.rs
+++ b/sloeline/src/discovery.rs
@@ -1,7 +1,9 @@
 //! The list of upstreams: discovery's form, the watch and the whole list.
 
 use std::cell::{Cell, RefCell};
+use std::future::pending;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,6 +16,8 @@
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use tokio::net::TcpStream;
+use tokio::select;
+use tokio::sync::Notify;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
@@ -28,13 +32,15 @@
 /// Pause after the first failed call, and the longest: it doubles each time.
 const AGAIN: f64 = 0.04;
 const MOST_PAUSE: f64 = 0.3;
-/// Bounds on each: a round costs a call, and silence counts as told after 6 s (2 s after a call's wait) anyway.
-const WAITS: (Duration, Duration) = (Duration::from_millis(40), Duration::from_secs(20));
-const PATIENCES: (Duration, Duration) = (Duration::from_millis(40), Duration::from_millis(1800));
+/// Bounds on each. A round costs a call; whatever fails, a change counts as told 6 s after discovery had it and
+/// could be reached, so that a call, a pause and the next call together stay under that.
+const WAITS: (Duration, Duration) = (Duration::from_millis(40), Duration::from_millis(1200));
+const PATIENCES: (Duration, Duration) = (Duration::from_millis(40), Duration::from_millis(800));
 const AGAINS: (Duration, Duration) = (Duration::from_millis(4), Duration::from_millis(100));
-const MOST_PAUSES: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(800));
-/// A whole list may take this long while it comes.
-const LIST_TIME: Duration = Duration::from_secs(6);
+const MOST_PAUSES: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
+/// All of a call, its wait and its list included, takes no longer: a call that came late is held so long beside
+/// the next ones.
+const CALL_TIME: Duration = Duration::from_millis(2200);
 /// How often the first call at a new address is made again before the module is told.
 const TIMES_AGAIN: u32 = 4;
 /// Most of a list's text.
@@ -160,6 +166,29 @@
     }
 }
 
+/// A call under way: its list, and the connection for the next.
+type Call = Pin<Box<dyn Future<Output = Result<(List, Line), String>>>>;
+
+/// The list of a call that is late. One that fails is dropped, and nothing is heard.
+async fn heard_late(late: &mut Option<Call>) -> (List, Line) {
+    if let Some(call) = late {
+        if let Ok(heard) = call.await {
+            return heard;
+        }
+        *late = None;
+    }
+    pending().await
+}
+
+/// When the next call begins.
+#[derive(Clone, Copy)]
+enum Next {
+    Now,
+    After(Duration),
+    /// Once the module watches again.
+    Asked,
+}
+
 /// A connection to discovery, kept between calls.
 struct Line {
     sender: SendRequest<Empty<Bytes>>,
@@ -183,6 +212,9 @@
     unasked: bool,
     clocks: Clocks,
     watch: RefCell<Option<AbortHandle>>,
+    /// The watch has failed, and the next call is the module's to choose.
+    waits: Cell<bool>,
+    asked: Notify,
 }
 
 impl Discovery {
@@ -197,7 +229,8 @@
         let (address, generation) = (Cell::new(address), Cell::new(generation));
         let clocks = Clocks::within(drain_grace);
         let (moves, watch) = (Cell::new(0), RefCell::default());
-        Rc::new(Discovery { address, moves, generation, unasked, clocks, watch })
+        let (waits, asked) = (Cell::new(false), Notify::new());
+        Rc::new(Discovery { address, moves, generation, unasked, clocks, watch, waits, asked })
     }
 
     /// Leaves the present address, its watch and its line: the new one is asked for the whole list at once and
@@ -211,55 +244,86 @@
         self.start(TIMES_AGAIN, tell);
     }
 
-    /// Watches from now on and tells each list. A failure is told and ends the watch, unless news is to come
-    /// unasked. A watch under way ends.
+    /// Watches from now on and tells each list. After a failure that is told the next call waits for this, unless
+    /// news is to come unasked. A watch under way goes on: whatever it comes to is told.
     pub fn watch(self: &Rc<Self>, tell: impl Fn(ListKind, Vec<Listed>) + 'static) {
-        self.start(0, tell);
+        if self.waits.replace(false) {
+            self.asked.notify_one();
+        } else if self.watch.borrow().is_none() {
+            self.start(0, tell);
+        }
     }
 
-    /// A watch whose first call is made again up to `again` times.
-    fn start(self: &Rc<Self>, mut again: u32, tell: impl Fn(ListKind, Vec<Listed>) + 'static) {
-        let this = self.clone();
-        let task = spawn_local(async move {
-            let Clocks { wait, patience, again: first_pause, most_pause } = this.clocks;
-            let (mut line, mut pause) = (None, first_pause);
-            loop {
-                let (path, patience) = match this.generation.get() {
+    /// A watch whose first call is made again up to `again` times before the module is told.
+    fn start(self: &Rc<Self>, again: u32, tell: impl Fn(ListKind, Vec<Listed>) + 'static) {
+        self.waits.set(false);
+        let task = spawn_local(self.clone().keep_watch(again, tell));
+        if let Some(before) = self.watch.replace(Some(task.abort_handle())) {
+            before.abort();
+        }
+    }
+
+    /// Calls one after the other. Guards against one that is silent, or whose list never ends, without giving up
+    /// one that is only slow: the next call begins beside it, and the list that is whole first counts.
+    async fn keep_watch(self: Rc<Self>, mut again: u32, tell: impl Fn(ListKind, Vec<Listed>)) {
+        let Clocks { wait, patience, again: first_pause, most_pause } = self.clocks;
+        let (mut line, mut late, mut next, mut pause) = (None, None, Next::Now, first_pause);
+        loop {
+            let call = async {
+                match next {
+                    Next::Now => {}
+                    Next::After(pause) => sleep(pause).await,
+                    Next::Asked => self.asked.notified().await,
+                }
+                let (path, patience) = match self.generation.get() {
                     None => ("/registry/instances".to_owned(), patience),
                     Some(g) => {
                         (format!("/registry/instances?index={g}&wait={}", wait.as_millis()), wait + patience)
                     }
                 };
-                match this.call(&mut line, &path, patience).await {
+                let mut call: Call = Box::pin(self.clone().call(line.take(), path));
+                match timeout(patience, &mut call).await {
+                    Ok(heard) => heard.map_err(|why| (why, None)),
+                    Err(_) => Err(("silence".to_owned(), Some(call))),
+                }
+            };
+            let heard = select! {
+                heard = heard_late(&mut late) => Ok(heard),
+                heard = call => heard,
+            };
+            match heard {
+                Ok((list, kept)) => {
+                    (line, late, next) = (Some(kept), None, Next::Now);
+                    self.waits.set(false);
                     // Changes on the way to a list that is older than the one held: which they lead to nobody knows.
-                    Ok(list) if !list.reset && this.generation.get().is_some_and(|g| list.generation < g) => {
+                    if !list.reset && self.generation.get().is_some_and(|g| list.generation < g) {
                         eprintln!(
                             "discovery: version {} after a newer one; the whole list is asked for",
                             list.generation
                         );
-                        this.generation.set(None);
+                        self.generation.set(None);
+                        continue;
                     }
-                    Ok(list) => {
-                        let whole = list.reset || this.generation.get().is_none();
-                        this.generation.set(Some(list.generation));
-                        (again, pause) = (0, first_pause);
-                        tell(if whole { ListKind::Complete } else { ListKind::Changes }, list.entries());
-                    }
-                    Err(why) if again > 0 || this.unasked => {
-                        eprintln!("discovery: {} does not answer: {why}", this.address.get());
+                    let whole = list.reset || self.generation.get().is_none();
+                    self.generation.set(Some(list.generation));
+                    (again, pause) = (0, first_pause);
+                    tell(if whole { ListKind::Complete } else { ListKind::Changes }, list.entries());
+                }
+                Err((why, call)) => {
+                    eprintln!("discovery: {} does not answer: {why}", self.address.get());
+                    // The oldest is kept: it is the nearest to its end.
+                    late = late.or(call);
+                    if again > 0 || self.unasked {
                         again = again.saturating_sub(1);
-                        sleep(pause).await;
+                        next = Next::After(pause);
                         pause = (2 * pause).min(most_pause);
-                    }
-                    Err(why) => {
-                        eprintln!("discovery: the watch ended: {why}");
-                        return tell(ListKind::Failed, Vec::new());
+                    } else {
+                        next = Next::Asked;
+                        self.waits.set(true);
+                        tell(ListKind::Failed, Vec::new());
                     }
                 }
             }
-        });
-        if let Some(before) = self.watch.replace(Some(task.abort_handle())) {
-            before.abort();
         }
     }
 
@@ -268,17 +332,17 @@
         let this = self.clone();
         spawn_local(async move {
             let (before, moves) = (this.generation.get(), this.moves.get());
-            let called = this.call(&mut None, "/registry/instances", this.clocks.patience).await;
+            let called = this.clone().call(None, "/registry/instances".to_owned()).await;
             // Guards against the list of an address that was left in the meantime.
             if this.moves.get() != moves {
                 return;
             }
             match called {
                 // A watch told something newer in the meantime.
-                Ok(list)
+                Ok((list, _))
                     if before != this.generation.get()
                         && this.generation.get().is_some_and(|g| list.generation < g) => {}
-                Ok(list) => {
+                Ok((list, _)) => {
                     this.generation.set(Some(list.generation));
                     tell(ListKind::Complete, list.entries());
                 }
@@ -290,50 +354,48 @@
         });
     }
 
-    /// One call; it fails once nothing has come for as long as `patience`, or when all of it takes too long.
-    async fn call(&self, line: &mut Option<Line>, path: &str, patience: Duration) -> Result<List, String> {
-        let called = timeout(patience + LIST_TIME, self.ask(line, path, patience)).await;
-        let called = called.unwrap_or_else(|_| Err("its list does not end".into()));
-        if called.is_err() {
-            *line = None;
-        }
-        called
+    /// One call, on the connection kept from the last if there is one.
+    async fn call(self: Rc<Self>, line: Option<Line>, path: String) -> Result<(List, Line), String> {
+        timeout(CALL_TIME, self.ask(line, &path))
+            .await
+            .unwrap_or_else(|_| Err("its list does not end".into()))
     }
 
-    async fn ask(&self, line: &mut Option<Line>, path: &str, patience: Duration) -> Result<List, String> {
-        let silence = |_| "silence".to_owned();
-        let response = timeout(patience, self.begin(line, path)).await.map_err(silence)??;
+    async fn ask(&self, line: Option<Line>, path: &str) -> Result<(List, Line), String> {
+        let (response, line) = self.begin(line, path).await?;
         if response.status() != StatusCode::OK {
             return Err(format!("status {}", response.status()));
         }
         let (mut body, mut text) = (Limited::new(response.into_body(), MOST_LIST), BytesMut::new());
-        while let Some(frame) = timeout(patience, body.frame()).await.map_err(silence)? {
+        while let Some(frame) = body.frame().await {
             text.extend_from_slice(frame.map_err(|e| e.to_string())?.data_ref().unwrap_or(&Bytes::new()));
         }
-        serde_json::from_slice(&text).map_err(|e| e.to_string())
+        Ok((serde_json::from_slice(&text).map_err(|e| e.to_string())?, line))
     }
 
     /// Sends a call and waits for the head of its answer.
-    async fn begin(&self, line: &mut Option<Line>, path: &str) -> Result<Response<Incoming>, String> {
-        let ready = match line {
-            Some(line) => line.sender.ready().await.is_ok(),
-            None => false,
+    async fn begin(&self, line: Option<Line>, path: &str) -> Result<(Response<Incoming>, Line), String> {
+        let mut line = match line {
+            Some(line) if !line.sender.is_closed() => line,
+            _ => self.connect().await?,
         };
-        if !ready {
-            *line = None;
-            let stream = TcpStream::connect(self.address.get()).await.map_err(|e| e.to_string())?;
-            let _ = stream.set_nodelay(true);
-            let shaken = http1::handshake(TokioIo::new(stream)).await;
-            let (sender, connection) = shaken.map_err(|e| e.to_string())?;
-            let driver = spawn_local(async move {
-                let _ = connection.await;
-            });
-            *line = Some(Line { sender, driver: driver.abort_handle() });
+        if line.sender.ready().await.is_err() {
+            line = self.connect().await?;
         }
-        let Some(line) = line else { return Err("no connection".into()) };
         let request = Request::get(path).header(HOST, self.address.get().to_string()).body(Empty::new());
         let request = request.map_err(|e| e.to_string())?;
-        line.sender.send_request(request).await.map_err(|e| e.to_string())
+        Ok((line.sender.send_request(request).await.map_err(|e| e.to_string())?, line))
+    }
+
+    async fn connect(&self) -> Result<Line, String> {
+        let stream = TcpStream::connect(self.address.get()).await.map_err(|e| e.to_string())?;
+        let _ = stream.set_nodelay(true);
+        let shaken = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = shaken.map_err(|e| e.to_string())?;
+        let driver = spawn_local(async move {
+            let _ = connection.await;
+        });
+        Ok(Line { sender, driver: driver.abort_handle() })
     }
 }
 
