Test that the module's word ends no call to discovery that is under way

With a watch that the module's word begins anew, the list after a move came at 1.85 s instead of 1.6 s; the test before bore that, this one fails.

--- a/sloeline/src/discovery/tests.rs
+++ b/sloeline/src/discovery/tests.rs
@@ -233,14 +233,14 @@
 fn after_a_move_the_whole_list_is_heard_within_4_s_whatever_fails_first() {
     let ms = Duration::from_millis;
     for (grace, ask_within) in modes() {
-        for end in ENDS {
-            // The new address is good from the start, but slow: what the module asks meanwhile ends no call.
+        for (seed, end) in (1..).zip(ENDS) {
+            // The new address is good from the start, but slow: what the module asks meanwhile begins no call anew.
             // Or it fails the first calls.
-            for (back, slow) in [(0, 1_600), (1_800, 0)] {
+            for (back, slow, most) in [(0, 1_600, 1_800), (1_800, 0, 4_000)] {
                 let (back, slow, moves) = (ms(back), ms(slow), Some(ms(1_500)));
-                let case = Case { end, ask_within, grace, known: true, back, moves, slow, seed: 5 };
+                let case = Case { end, ask_within, grace, known: true, back, moves, slow, seed };
                 let after = heard_after(case) + back.saturating_sub(ms(1_500));
-                assert!(after < ms(4_000), "{after:?} {case:?}");
+                assert!(after < ms(most), "{after:?} {case:?}");
             }
         }
     }
