--- a/src/brain.rs
+++ b/src/brain.rs
@@ -103,14 +103,10 @@
 const LONGEST_LOOK: Micros = 40_000;
 /// Rounds of housekeeping in the longest deadline.
 const HOUSEKEEPING: u64 = 16;
-/// Discovery is first asked within this share of the span allowed for asking.
-const ASK_SPREAD: f64 = 0.9;
-/// Discovery is asked again within this share of that span after a failed call.
-const ASK_AGAIN: f64 = 0.4;
-/// Longest of these spans, whatever is allowed: a change counts as told 6 s after discovery had it and could be
-/// reached, and the call takes up to 2.2 s of them, twice after one that failed.
-const MOST_ASK_SPREAD: f64 = 3_000_000.0;
-const MOST_ASK_AGAIN: f64 = 1_200_000.0;
+/// Discovery is first asked within this share of the span allowed for asking, and within so long.
+const ASK_FIRST: (f64, f64) = (0.9, 3_000_000.0);
+/// Again after a failed call: news counts as told 6 s after it can be reached, and a call takes 2.2 s.
+const ASK_AGAIN: (f64, f64) = (0.4, 1_200_000.0);
 
 const SWEEP: u64 = 1;
 const HOUSEKEEP: u64 = 2;
@@ -419,7 +415,7 @@
             (self.housekept, self.began) = (now, now);
             self.housekeep(now, actions);
             if self.settings.discovery == Discovery::Ask {
-                self.ask_within(ASK_SPREAD, MOST_ASK_SPREAD, actions);
+                self.ask_within(ASK_FIRST, actions);
             }
         }
         match event {
@@ -1050,16 +1046,14 @@
 
     // Discovery.
 
-    /// Asks within a share of the span allowed for it, and within `most`: spread out, as all start at once.
-    fn ask_within(&mut self, share: f64, most: f64, actions: &mut Vec<Action>) {
+    fn ask_within(&mut self, (share, most): (f64, f64), actions: &mut Vec<Action>) {
         let span = (self.settings.rules.ask_within as f64 * share).min(most);
         actions.push(Action::Timer { delay: (span * self.rng.f64()) as Micros, token: ASK });
     }
 
     fn list(&mut self, now: Micros, kind: ListKind, entries: Vec<ServerEntry>, actions: &mut Vec<Action>) {
         if kind == ListKind::Failed {
-            self.ask_within(ASK_AGAIN, MOST_ASK_AGAIN, actions);
-            return;
+            return self.ask_within(ASK_AGAIN, actions);
         }
         if kind != ListKind::Changes {
             let listed: std::collections::BTreeSet<ServerId> = entries.iter().map(|e| e.id).collect();
