Keep descriptors for those that ask when a stop empties a crowded queue

Cause, measured with idle clients that come again when they are closed: when the listener's time was over, `Server::serve` took all that waited in its queue, places or not (`last_place`, `squeeze`), up to 1,024 connections. Nothing was left for a connection to an upstream or to discovery, `accept` failed, and the listener was closed on those behind.

Change: the queue is emptied within the places. Kept connections begin to close before the queue is emptied, no longer after it. Bounded by the queue's length and the time of the last answer.

Ruled out by the same runs: while it serves, the watch gets its next connections, upstreams theirs and callers a 200.

The tests cross the crowd with the return of discovery, SIGHUP, a successor and a stop. Without the mend `a_crowd_in_the_queue_does_not_cost_a_stop_its_answers` fails: no answer.

--- a/sloeline/src/gate.rs
+++ b/sloeline/src/gate.rs
@@ -426,8 +426,7 @@
     /// Something has come that was not passed on. Asks the kernel: the runtime may not have looked since, and a
     /// socket that is closed with something unread takes a request with it.
     pub fn waits(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        !self.held.is_empty() || SockRef::from(&self.stream).peek(&mut byte).is_ok_and(|n| n > 0)
+        !self.held.is_empty() || waits(&self.stream)
     }
 
     /// The socket, when hyper is done with it.
@@ -436,6 +435,12 @@
     }
 }
 
+/// Whether bytes have come that were not read; asks the kernel.
+pub fn waits(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    SockRef::from(stream).peek(&mut byte).is_ok_and(|n| n > 0)
+}
+
 /// The connection between the socket and hyper.
 pub struct Gate {
     inbound: Rc<RefCell<Inbound>>,
--- a/sloeline/src/server.rs
+++ b/sloeline/src/server.rs
@@ -22,13 +22,14 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{spawn_local, yield_now};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use crate::engine::Engine;
-use crate::gate::{Crowd, Fault, Gate, IDLE_TIME, Inbound, Progress, Stage};
+use crate::gate::{Crowd, Fault, Gate, IDLE_TIME, Inbound, Progress, Stage, waits};
 use crate::orders::Book;
 use crate::pool::BUFFER;
 use crate::room::{Gauge, Taken};
+use crate::service::BACKLOG;
 use crate::stream::{Answering, Begun, End, MOST_HELD, Upload, begin};
 use crate::upstream::{Answered, Call, Payload, Reply};
 use crate::wire::{Answer, Asked, Failure, Wire};
@@ -281,17 +282,52 @@
         if door.shared {
             drop(door.listener);
         } else if let Ok(listener) = door.listener.into_std() {
-            while let Ok((stream, _)) = listener.accept() {
-                if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
-                    self.welcome(stream, self.last_place(false));
-                }
-            }
+            // From here on connections that have carried nothing are soon closed, and leave room.
+            self.life.phases.send_replace(Phase::Closing);
+            let ordered = self.life.ordered.get().unwrap_or_else(Instant::now);
+            let _ =
+                timeout_at(ordered + self.leave_within - NOTHING_YET / 2, self.empty_queue(&listener)).await;
         }
         self.life.phases.send_replace(if door.shared { Phase::Leaving } else { Phase::Closing });
         self.places.empty().await;
         self.beyond.empty().await;
     }
 
+    /// Takes what waits in the listener's queue. Guards the descriptors: idle clients that wait there would take
+    /// those of upstreams and of discovery, so one that has said nothing is closed where few places are left.
+    async fn empty_queue(self: &Rc<Self>, listener: &std::net::TcpListener) {
+        // What comes later than this many has come after the end.
+        for _ in 0..=BACKLOG {
+            let Ok((stream, _)) = listener.accept() else { return };
+            let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) else {
+                continue;
+            };
+            if self.places.used_part() < CROWDED || waits(&stream) {
+                let place = self.queued_place().await;
+                self.welcome(stream, place);
+            }
+        }
+    }
+
+    /// A place for one that has asked before the listener closed: an idle one makes room, or else it hears at once
+    /// that there is none.
+    async fn queued_place(&self) -> Place {
+        loop {
+            if let Some(taken) = self.places.take(1) {
+                return Place { _taken: taken, beyond: false };
+            }
+            let closing = self.crowd.close_oldest().is_ok();
+            if !closing && let Some(taken) = self.beyond.take(1) {
+                return Place { _taken: taken, beyond: true };
+            }
+            tokio::select! {
+                () = self.places.freed() => {}
+                () = self.beyond.freed() => {}
+                () = sleep(NO_SOCKET_PAUSE) => {}
+            }
+        }
+    }
+
     /// Serves a connection that has a place.
     fn welcome(self: &Rc<Self>, stream: TcpStream, place: Place) {
         let _ = stream.set_nodelay(true);
--- a/sloeline/src/service.rs
+++ b/sloeline/src/service.rs
@@ -31,7 +31,7 @@
 /// connection has beside: of 32 MB with 256 descriptors, 8 KB buffers and heads take 5, the program itself 2.
 const BODIES: f64 = 0.4;
 /// Connections that wait to be accepted.
-const BACKLOG: u32 = 1024;
+pub const BACKLOG: u32 = 1024;
 /// How often what was learned is kept for a successor.
 const BEQUEATH: Duration = Duration::from_millis(250);
 /// How often is looked whether another process of this balancer lives, and what operators have set there.
--- /dev/null
+++ b/sloeline/tests/crowds.rs
@@ -0,0 +1,235 @@
+//! Idle clients that fill every place and the listener's queue while discovery is down: they cost neither the watch
+//! its next connection, nor upstreams theirs, nor a caller its answer.
+
+mod common;
+
+use std::io::{ErrorKind, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, channel};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use common::*;
+
+/// The fewest descriptors that the pages allow, and the fewest of idle clients that fill them twice over.
+const SOCKETS: usize = 256;
+const IDLE: usize = 500;
+
+/// Clients that connect and say nothing; one whose connection is closed comes again at once.
+struct Crowd {
+    ends: Arc<AtomicBool>,
+    task: Option<JoinHandle<()>>,
+}
+
+impl Crowd {
+    /// So many of them, all connected.
+    fn new(address: SocketAddr, clients: usize) -> Crowd {
+        let connect = move || {
+            let stream = TcpStream::connect_timeout(&address, Duration::from_millis(200)).ok()?;
+            stream.set_nonblocking(true).ok().map(|()| stream)
+        };
+        let mut streams: Vec<_> = (0..clients).map(|_| connect()).collect();
+        let ends = Arc::new(AtomicBool::new(false));
+        let end = ends.clone();
+        let task = std::thread::spawn(move || {
+            let open = |s: &TcpStream| s.peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
+            while !end.load(Ordering::Relaxed) {
+                for stream in &mut streams {
+                    if !stream.as_ref().is_some_and(open) && !end.load(Ordering::Relaxed) {
+                        *stream = connect();
+                    }
+                }
+                std::thread::sleep(Duration::from_millis(2));
+            }
+        });
+        Crowd { ends, task: Some(task) }
+    }
+}
+
+impl Drop for Crowd {
+    fn drop(&mut self) {
+        self.ends.store(true, Ordering::Relaxed);
+        if let Some(task) = self.task.take() {
+            let _ = task.join();
+        }
+    }
+}
+
+/// Discovery: down, each connection is closed unanswered; up, it tells its list once to each watch.
+struct Agent {
+    address: SocketAddr,
+    list: Arc<Mutex<Option<String>>>,
+    /// A connection that came while it was down.
+    refused: Receiver<()>,
+}
+
+impl Agent {
+    fn down() -> Agent {
+        let peer = Peer::new();
+        let (address, list) = (peer.address, Arc::new(Mutex::new(None)));
+        let (sender, refused) = channel();
+        let now: Arc<Mutex<Option<String>>> = list.clone();
+        std::thread::spawn(move || {
+            for mut stream in peer.incoming() {
+                let Some(text) = now.lock().expect("a list").clone() else {
+                    let _ = sender.send(());
+                    continue;
+                };
+                std::thread::spawn(move || {
+                    if read(&mut stream).is_some() {
+                        answer(&mut stream, "200 OK", "", text.as_bytes());
+                    }
+                    // The next call waits for news.
+                    while read(&mut stream).is_some() {}
+                });
+            }
+        });
+        Agent { address, list, refused }
+    }
+
+    fn back(&self, entries: &[String]) {
+        *self.list.lock().expect("a list") = Some(list(42, true, entries));
+    }
+
+    /// Waits for so many further connections of the watch.
+    fn called(&self, times: usize) {
+        while self.refused.try_recv().is_ok() {}
+        for _ in 0..times {
+            self.refused.recv_timeout(LONG).expect("the watch's next connection");
+        }
+    }
+}
+
+/// A balancer that knows the first upstream.
+fn setup(upstream: SocketAddr, discovery: SocketAddr) -> Setup {
+    Setup {
+        discovery: Some(discovery),
+        unasked: true,
+        sockets: SOCKETS,
+        descriptors: Some(SOCKETS as u32),
+        ..Setup::knowing(&[upstream])
+    }
+}
+
+/// Descriptors that the process holds.
+fn descriptors(balancer: &Balancer) -> usize {
+    std::fs::read_dir(format!("/proc/{}/fd", balancer.child.id())).map_or(0, Iterator::count)
+}
+
+/// Requests in a row, each on a connection of its own; all are served.
+fn ask(balancer: &Balancer, ids: std::ops::Range<u32>) {
+    for id in ids {
+        assert_eq!(balancer.ask(&request("pay", &format!("r-{id}"), "")).status(), 200, "r-{id}");
+    }
+}
+
+/// Discovery has told that `old` drains and `new` serves: the news is acted on by every process, and nothing new
+/// goes to `old` then.
+fn moved(balancer: &Balancer, old: &Receiver<Message>, new: &Receiver<Message>) {
+    let start = Instant::now();
+    for id in (1000..).step_by(10) {
+        assert!(start.elapsed() < LONG, "the news is not acted on");
+        old.try_iter().count();
+        ask(balancer, id..id + 10);
+        if old.try_iter().count() == 0 && new.try_iter().count() >= 10 {
+            return;
+        }
+    }
+}
+
+#[test]
+fn a_crowd_costs_neither_the_watch_nor_upstreams_nor_those_that_ask_and_news_is_acted_on() {
+    let (a, b, agent) = (Peer::new(), Peer::new(), Agent::down());
+    let balancer = setup(a.address, agent.address).start();
+    let _crowd = Crowd::new(balancer.address, IDLE);
+    agent.called(2);
+    // Each needs a connection of its own to the upstream.
+    for (client, stream) in &mut balancer.held(&a, 3) {
+        ok(stream);
+        assert_eq!(read(client).expect("an answer").status(), 200);
+    }
+    let entries = [entry("s-0", a.address, "DRAINING"), entry("s-1", b.address, "SERVING")];
+    let (to_a, to_b) = (a.serve(|_, stream| ok(stream)), b.serve(|_, stream| ok(stream)));
+    ask(&balancer, 100..110);
+    agent.called(2);
+    agent.back(&entries);
+    moved(&balancer, &to_a, &to_b);
+    assert!(descriptors(&balancer) < SOCKETS, "none is left");
+}
+
+#[test]
+fn discovery_that_moves_under_a_crowd_is_found() {
+    let (a, b, down, up) = (Peer::new(), Peer::new(), Agent::down(), Agent::down());
+    up.back(&[entry("s-0", a.address, "DRAINING"), entry("s-1", b.address, "SERVING")]);
+    let balancer = setup(a.address, down.address).start();
+    let (to_a, to_b) = (a.serve(|_, stream| ok(stream)), b.serve(|_, stream| ok(stream)));
+    let _crowd = Crowd::new(balancer.address, IDLE);
+    down.called(2);
+    balancer.reload(&setup(nowhere(), up.address).config());
+    moved(&balancer, &to_a, &to_b);
+}
+
+#[test]
+fn a_successor_under_a_crowd_shares_the_room_and_hears_the_news() {
+    let (a, b, agent) = (Peer::new(), Peer::new(), Agent::down());
+    let entries = [entry("s-0", a.address, "DRAINING"), entry("s-1", b.address, "SERVING")];
+    let a_address = a.address;
+    let (to_a, to_b) = (a.serve(|_, stream| ok(stream)), b.serve(|_, stream| ok(stream)));
+    let folder = Folder::new("crowd");
+    let door = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let start = || {
+        let (folder, door) = (Some(folder.0.clone()), Some(door.try_clone().expect("a descriptor")));
+        Setup { folder, door, ..setup(a_address, agent.address) }.start()
+    };
+    let mut old = start();
+    let _crowd = Crowd::new(old.address, IDLE);
+    agent.called(2);
+    let new = start();
+    old.logged("2 processes");
+    // Two watches, and a request through either.
+    agent.called(6);
+    ask(&new, 0..10);
+    let start = Instant::now();
+    while descriptors(&old) + descriptors(&new) > SOCKETS {
+        assert!(start.elapsed() < LONG, "together they hold more than one may");
+    }
+    ask(&new, 10..20);
+    assert!(descriptors(&old) + descriptors(&new) <= SOCKETS, "together they hold more than one may");
+    agent.back(&entries);
+    moved(&new, &to_a, &to_b);
+    old.terminate();
+    assert!(old.child.wait().expect("it ends").success());
+    new.logged("1 processes");
+    ask(&new, 6000..6010);
+}
+
+#[test]
+fn a_crowd_in_the_queue_does_not_cost_a_stop_its_answers() {
+    let (upstream, agent) = (Peer::new(), Agent::down());
+    let mut balancer = setup(upstream.address, agent.address).start();
+    let _requests = upstream.serve(|_, stream| ok(stream));
+    let crowd = Crowd::new(balancer.address, IDLE);
+    agent.called(2);
+    balancer.terminate();
+    balancer.logged("told to stop");
+    let order = Instant::now();
+    drop(crowd);
+    let (mut idle, mut asking) = (Vec::new(), Vec::new());
+    balancer.frozen(|| {
+        idle.extend((0..IDLE).map(|_| balancer.connect()));
+        for id in 0..10 {
+            let mut client = balancer.connect();
+            client.write_all(request("pay", &format!("r-{id}"), "").as_bytes()).expect("it is connected");
+            asking.push(client);
+        }
+        // The listener's time is over when it goes on: 0.37 of 3.5 s.
+        std::thread::sleep(Duration::from_millis(1400).saturating_sub(order.elapsed()));
+    });
+    for client in &mut asking {
+        assert_eq!(read(client).expect("an answer").status(), 200);
+    }
+    assert!(balancer.child.wait().expect("it ends").success());
+    assert!(order.elapsed() < Duration::from_secs(10), "after the kill");
+}
