Be ready within 6 s of a start when discovery gives no list

Cause: `Server::ready` wanted a list of upstreams, the known one or discovery's. So too where discovery takes longer to begin its answer than the watch waits for one (0.5 s with a drain grace of 2.5 s).

Change: a process that has waited 5 s for a list says that it is ready. Not sooner: a list that comes within 5 s is better than refusals. Both addresses say the same.

--- a/sloeline/src/management.rs
+++ b/sloeline/src/management.rs
@@ -123,7 +123,9 @@
             false => (StatusCode::NOT_FOUND, format!("no list has named {name}")),
         };
         Ok(match order {
-            Order::Ready if self.life.takes() && self.engine.listed() => (StatusCode::OK, "ready".to_owned()),
+            Order::Ready if self.life.takes() && self.life.may_serve(self.engine.listed()) => {
+                (StatusCode::OK, "ready".to_owned())
+            }
             Order::Ready => (StatusCode::SERVICE_UNAVAILABLE, "not ready".to_owned()),
             Order::Exclude(name) => known(self.engine.exclude(name)?, "out", name),
             Order::Include(name) => known(self.engine.include(name)?, "in use", name),
--- a/sloeline/src/server.rs
+++ b/sloeline/src/server.rs
@@ -61,6 +61,10 @@
 /// How much of it at the most.
 const MOST_LINGER: usize = 1 << 20;
 
+/// How long a process that holds no list of upstreams waits for one before it says that it is ready all the same:
+/// readiness is owed within 6 s of a restart, be discovery down or not. What comes to it is refused at once.
+const LIST_PATIENCE: Duration = Duration::from_secs(5);
+
 const TOO_LARGE: &str = "over 32 MiB";
 
 const REQ_ID: HeaderName = HeaderName::from_static("req-id");
@@ -101,13 +105,14 @@
     accompanied: Cell<bool>,
     /// When the order to stop came.
     ordered: Cell<Option<Instant>>,
+    begun: Instant,
 }
 
 impl Life {
     /// Just begun.
     pub fn new(book: Rc<Book>) -> Rc<Life> {
         let (phases, accompanied) = (watch::Sender::new(Phase::Running), Cell::default());
-        let life = Life { phases, book, accompanied, ordered: Cell::default() };
+        let life = Life { phases, book, accompanied, ordered: Cell::default(), begun: Instant::now() };
         life.follow();
         Rc::new(life)
     }
@@ -154,6 +159,11 @@
         self.accompanied.set(accompanied);
     }
 
+    /// Whether a process may be ready that holds a list of upstreams, or does not.
+    pub fn may_serve(&self, listed: bool) -> bool {
+        listed || self.begun.elapsed() > LIST_PATIENCE
+    }
+
     /// This process takes connections.
     pub fn takes(&self) -> bool {
         !self.phases.borrow().ends()
@@ -483,7 +493,7 @@
             Phase::Stopping | Phase::Leaving => self.life.accompanied.get(),
             Phase::Evacuated | Phase::Closing => false,
         };
-        if taking && self.engine.listed() {
+        if taking && self.life.may_serve(self.engine.listed()) {
             plain(StatusCode::OK, "ready")
         } else {
             plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
