--- a/sloeline/src/server.rs
+++ b/sloeline/src/server.rs
@@ -22,13 +22,14 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{spawn_local, yield_now};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use crate::engine::Engine;
-use crate::gate::{Crowd, Fault, Gate, IDLE_TIME, Inbound, Progress, Stage};
+use crate::gate::{Crowd, Fault, Gate, IDLE_TIME, Inbound, Progress, Stage, waits};
 use crate::orders::Book;
 use crate::pool::BUFFER;
 use crate::room::{Gauge, Taken};
+use crate::service::BACKLOG;
 use crate::stream::{Answering, Begun, End, MOST_HELD, Upload, begin};
 use crate::upstream::{Answered, Call, Payload, Reply};
 use crate::wire::{Answer, Asked, Failure, Wire};
@@ -60,6 +61,10 @@
 /// How much of it at the most.
 const MOST_LINGER: usize = 1 << 20;
 
+/// How long a process that holds no list of upstreams waits for one before it says that it is ready all the same:
+/// readiness is owed within 6 s of a restart, be discovery down or not. What comes to it is refused at once.
+const LIST_PATIENCE: Duration = Duration::from_secs(5);
+
 const TOO_LARGE: &str = "over 32 MiB";
 
 const REQ_ID: HeaderName = HeaderName::from_static("req-id");
@@ -100,13 +105,14 @@
     accompanied: Cell<bool>,
     /// When the order to stop came.
     ordered: Cell<Option<Instant>>,
+    begun: Instant,
 }
 
 impl Life {
     /// Just begun.
     pub fn new(book: Rc<Book>) -> Rc<Life> {
         let (phases, accompanied) = (watch::Sender::new(Phase::Running), Cell::default());
-        let life = Life { phases, book, accompanied, ordered: Cell::default() };
+        let life = Life { phases, book, accompanied, ordered: Cell::default(), begun: Instant::now() };
         life.follow();
         Rc::new(life)
     }
@@ -153,6 +159,11 @@
         self.accompanied.set(accompanied);
     }
 
+    /// Whether a process may be ready that holds a list of upstreams, or does not.
+    pub fn may_serve(&self, listed: bool) -> bool {
+        listed || self.begun.elapsed() > LIST_PATIENCE
+    }
+
     /// This process takes connections.
     pub fn takes(&self) -> bool {
         !self.phases.borrow().ends()
@@ -241,7 +252,10 @@
     pub fn resize(&self, room: &Room) {
         self.places.resize(room.places);
         self.bodies.resize(room.bodies);
-        while self.places.over() && self.crowd.close_oldest().is_ok() {}
+        // A place is given back once its task has been dropped.
+        for _ in 0..self.places.excess() {
+            let _ = self.crowd.close_oldest();
+        }
     }
 
     /// Takes connections until the order to stop, and a little longer where they are nobody else's; returns when
@@ -281,17 +295,52 @@
         if door.shared {
             drop(door.listener);
         } else if let Ok(listener) = door.listener.into_std() {
-            while let Ok((stream, _)) = listener.accept() {
-                if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
-                    self.welcome(stream, self.last_place(false));
-                }
-            }
+            // From here on connections that have carried nothing are soon closed, and leave room.
+            self.life.phases.send_replace(Phase::Closing);
+            let ordered = self.life.ordered.get().unwrap_or_else(Instant::now);
+            let _ =
+                timeout_at(ordered + self.leave_within - NOTHING_YET / 2, self.empty_queue(&listener)).await;
         }
         self.life.phases.send_replace(if door.shared { Phase::Leaving } else { Phase::Closing });
         self.places.empty().await;
         self.beyond.empty().await;
     }
 
+    /// Takes what waits in the listener's queue. Guards the descriptors: idle clients that wait there would take
+    /// those of upstreams and of discovery, so one that has said nothing is closed where few places are left.
+    async fn empty_queue(self: &Rc<Self>, listener: &std::net::TcpListener) {
+        // What comes later than this many has come after the end.
+        for _ in 0..=BACKLOG {
+            let Ok((stream, _)) = listener.accept() else { return };
+            let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) else {
+                continue;
+            };
+            if self.places.used_part() < CROWDED || waits(&stream) {
+                let place = self.queued_place().await;
+                self.welcome(stream, place);
+            }
+        }
+    }
+
+    /// A place for one that has asked before the listener closed: an idle one makes room, or else it hears at once
+    /// that there is none.
+    async fn queued_place(&self) -> Place {
+        loop {
+            if let Some(taken) = self.places.take(1) {
+                return Place { _taken: taken, beyond: false };
+            }
+            let closing = self.crowd.close_oldest().is_ok();
+            if !closing && let Some(taken) = self.beyond.take(1) {
+                return Place { _taken: taken, beyond: true };
+            }
+            tokio::select! {
+                () = self.places.freed() => {}
+                () = self.beyond.freed() => {}
+                () = sleep(NO_SOCKET_PAUSE) => {}
+            }
+        }
+    }
+
     /// Serves a connection that has a place.
     fn welcome(self: &Rc<Self>, stream: TcpStream, place: Place) {
         let _ = stream.set_nodelay(true);
@@ -444,7 +493,7 @@
             Phase::Stopping | Phase::Leaving => self.life.accompanied.get(),
             Phase::Evacuated | Phase::Closing => false,
         };
-        if taking && self.engine.listed() {
+        if taking && self.life.may_serve(self.engine.listed()) {
             plain(StatusCode::OK, "ready")
         } else {
             plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
