--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -929,6 +929,28 @@
     assert!(served > 60, "the other class still goes there: {served}");
 }
 
+#[test]
+fn a_departed_callers_attempt_counts_as_late_only_once_an_answer_would() {
+    // It counted so at once: clients that leave early closed the window beside idle servers.
+    for (patience, window) in [(10 * MS, 10..13), (400 * MS, 0..4)] {
+        let mut world = world(&[Effect::Safe], 6);
+        warm_up(&mut world, 0, 60, 20 * MS);
+        for _ in 0..60 {
+            let request = world.request(0);
+            let left = world.now + patience;
+            world.run(left, |_| None);
+            world.gone(request);
+            world.run(left + 20 * MS, |_| Some((20 * MS, Outcome::Ok)));
+        }
+        let out = world.out.len();
+        for _ in 0..12 {
+            world.request(0);
+        }
+        let more = world.out.len() - out;
+        assert!(window.contains(&more), "{more} places where clients leave after {patience} microseconds");
+    }
+}
+
 #[test]
 fn a_window_under_its_part_opens_faster_than_one_above() {
     // Windows that grew alike whatever their size left all places to the balancers that had them.
