--- a/fleet/src/day.rs
+++ b/fleet/src/day.rs
@@ -106,6 +106,9 @@
 pub struct Balancers {
     /// The zone of each.
     pub zones: Vec<String>,
+    /// Traffic of each beside the others of its zone; all alike if empty.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub shares: Vec<f64>,
     /// Share of a core that each has.
     pub cores: f64,
     /// Processor time of an event.
@@ -587,6 +590,9 @@
         for (i, z) in b.zones.iter().enumerate() {
             test(self.zones.contains(z), path!["balancers", "zones", i], "no such zone in `zones`");
         }
+        let right = b.shares.is_empty() || b.shares.len() == b.zones.len();
+        let right = right && b.shares.iter().all(|s| positive(*s));
+        test(right, path!["balancers", "shares"], "give one share above zero for each balancer, or none");
         test(positive(b.cores), path!["balancers", "cores"], "must be above zero");
         let l = &self.load;
         test(positive(l.rate), path!["load", "rate"], "must be above zero");
--- a/fleet/src/kinds.rs
+++ b/fleet/src/kinds.rs
@@ -118,7 +118,7 @@
 }
 
 /// Shares out a number over two zones.
-fn zoned(n: u32, first: f64) -> Vec<u32> {
+pub(crate) fn zoned(n: u32, first: f64) -> Vec<u32> {
     let a = ((f64::from(n) * first).round() as u32).clamp(1.min(n), n.saturating_sub(1).max(1));
     vec![a, n - a]
 }
@@ -205,7 +205,7 @@
 }
 
 /// Mean work of a class in seconds, with what `most_work` cuts off.
-fn mean_work(class: &Class, seed: u64) -> f64 {
+pub(crate) fn mean_work(class: &Class, seed: u64) -> f64 {
     let mut rng = draw::stream(seed, For::Arrivals, 1 << 40);
     (0..SAMPLES).map(|_| class.draw(&mut rng)).sum::<f64>() / 1e6 / f64::from(SAMPLES)
 }
@@ -296,6 +296,7 @@
         },
         balancers: Balancers {
             zones: (0..balancers).map(|b| names[usize::from(b >= in_first)].to_owned()).collect(),
+            shares: Vec::new(),
             cores: within(rng, (0.25, 1.0)),
             event_cost: Span(20),
             clock_spread: Span::s(20.0),
@@ -347,7 +348,7 @@
 }
 
 /// A fault of a kind, at a time, with nothing else said.
-fn fault(kind: FaultKind, at: f64, length: f64) -> Fault {
+pub(crate) fn fault(kind: FaultKind, at: f64, length: f64) -> Fault {
     Fault {
         kind,
         at: Span::s(at),
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod judge;
 pub mod kinds;
 pub mod policy;
+pub mod ramp;
 mod server;
 mod span;
 mod world;
--- a/fleet/src/server.rs
+++ b/fleet/src/server.rs
@@ -166,6 +166,11 @@
             / ((1.0 + self.thrash * over) * choked * slowed)
     }
 
+    /// Work a microsecond, were it warm and well and all its cores busy.
+    pub fn full_capacity(&self) -> f64 {
+        self.cores * self.speed
+    }
+
     /// Service a microsecond that each running job gets.
     fn rate(&self, now: Micros) -> f64 {
         if self.paused || self.running.is_empty() {
--- a/fleet/src/world/calls.rs
+++ b/fleet/src/world/calls.rs
@@ -8,6 +8,7 @@
 };
 use crate::draw::{self, For};
 use crate::judge::{Cause, Rule};
+use crate::ramp::Landing;
 use crate::server::{Condition, JobId};
 
 /// A server that fails fast answers after this.
@@ -139,9 +140,14 @@
         let told = self.processes[process as usize].told.get(&to);
         let s = &mut self.servers[to as usize];
         let knew = told.is_some_and(|t| t.started == s.started);
+        if let (Some(watch), Some(started)) = (&mut self.watch, s.started) {
+            let work = work + handshake;
+            watch.landings.push(Landing { server: to, started, at: self.now, work, told: knew });
+        }
         let rules = &self.day.rules;
         let pushed = s.push(self.now, work + handshake, knew, rules.overload_factor, rules.tip_after.0);
-        if let Some(known) = pushed {
+        // A watched one stays up, so that all it gets is seen.
+        if let Some(known) = pushed.filter(|_| self.watch.is_none()) {
             s.fallen = true;
             self.fallen += 1;
             if known >= KNEW {
--- a/fleet/src/world/clients.rs
+++ b/fleet/src/world/clients.rs
@@ -119,7 +119,12 @@
         let drawn = draw::unit(self.day.seed, For::Front, key);
         let taken = &self.taking[zone as usize];
         let way = self.day.network.client.0;
-        let picked = taken.get((drawn * taken.len() as f64) as usize);
+        let shares = &self.day.balancers.shares;
+        let at = match shares.is_empty() {
+            true => (drawn * taken.len() as f64) as usize,
+            false => weighted(drawn, taken.iter().map(|&i| shares[i as usize])),
+        };
+        let picked = taken.get(at);
         let process = picked.and_then(|&i| self.edges[i as usize].process);
         let Some(process) = process.filter(|p| self.processes[*p as usize].alive) else {
             let reply = Reply::Unreachable;
--- a/fleet/src/world/faults.rs
+++ b/fleet/src/world/faults.rs
@@ -175,6 +175,9 @@
             return;
         }
         s.start(self.now);
+        if let Some(watch) = &mut self.watch {
+            watch.starts.push((server, self.now, s.full_capacity()));
+        }
         let (started, epoch) = (s.started, s.epoch);
         self.start_behind(server);
         self.pause_later(server, epoch, 0);
--- a/fleet/src/world/mod.rs
+++ b/fleet/src/world/mod.rs
@@ -16,6 +16,7 @@
 use crate::draw::{self, For};
 use crate::judge::{self, Arrival, Breach, Detail, Result, Rule, Sample, Tally};
 use crate::policy::{Kind, Policy};
+use crate::ramp::Watch;
 use crate::server::{JobId, Server};
 
 const SECOND: Micros = 1_000_000;
@@ -284,6 +285,8 @@
     tally: Tally,
     actions: Vec<Action>,
     samples: Option<Vec<Vec<Sample>>>,
+    /// What servers get after their start, where that is asked for.
+    watch: Option<Watch>,
 }
 
 /// What came of a day.
@@ -324,6 +327,17 @@
     Ok(world.end())
 }
 
+/// Plays a day and writes down what servers get after their start.
+pub(crate) fn play_watched(day: &Day, kind: Kind) -> std::result::Result<(Played, Watch), DayError> {
+    day.check()?;
+    let start = |settings, seed| kind.start(settings, seed);
+    let mut world = World::new(day, &start, false);
+    world.watch = Some(Watch::default());
+    world.run();
+    let watch = world.watch.take().unwrap_or_default();
+    Ok((world.end(), watch))
+}
+
 impl<'d> World<'d> {
     fn new(day: &'d Day, start: Start<'d>, detail: bool) -> World<'d> {
         let mut world = World {
@@ -352,6 +366,7 @@
             tally: Tally::default(),
             actions: Vec::new(),
             samples: detail.then(Vec::new),
+            watch: None,
         };
         let mut cell = 0;
         for (tier, t) in day.tiers.iter().enumerate() {
--- a/zincstand/src/model/mod.rs
+++ b/zincstand/src/model/mod.rs
@@ -3,6 +3,7 @@
 mod compare;
 mod explain;
 mod plots;
+mod ramp;
 mod report;
 mod tables;
 
@@ -46,6 +47,9 @@
                             base.jsonl base.jsonl --policy-a random --policy-b module"
     )]
     Compare(compare::Compare),
+    /// Tell what cold servers get from all balancers together, and when they are back
+    #[command(after_help = "Example: zincstand model ramp --balancers 2,30 --seeds 50")]
+    Ramp(ramp::Ramp),
     /// Tell where a day's worth went: by cause, server and second
     Explain(explain::Explain),
     /// Write one HTML page with plots of a day and of experiments
@@ -160,6 +164,7 @@
         Command::Run(args) => one_day(&args),
         Command::Experiment(args) => many_days(&args),
         Command::Compare(args) => compare::run(&args),
+        Command::Ramp(args) => ramp::run(&args),
         Command::Explain(args) => explain::run(&args),
         Command::Report(args) => report::run(&args),
     }
