--- a/fleet/tests/ramp.rs
+++ b/fleet/tests/ramp.rs
@@ -21,6 +21,18 @@
     }
 }
 
+#[test]
+fn the_pause_keeps_the_bound_where_the_rule_is_strict() {
+    for (balancers, shape) in [(2, Shape::Release), (2, Shape::Zone), (30, Shape::Zone)] {
+        for seed in 1..=6 {
+            let day = ramp::day(shape, balancers, seed, STRICT).unwrap();
+            let played = ramp::play(&day, Kind::Module).unwrap();
+            // Without the pause it is -0.33 and more on most of them.
+            assert!(played.excess_told < -1.0, "{}: {played:?}", day.name);
+        }
+    }
+}
+
 #[test]
 fn a_policy_that_spares_no_cold_server_is_seen_to_push_it_over() {
     let day = ramp::day(Shape::Release, 30, 1, STRICT).unwrap();
