Ask the kernel for a departed caller right before an attempt's first byte

Cause, read: the last look at a caller whose request had come whole was at its intake (server.rs, left). After that its end was known only when its connection's task had its turn. Between the module's decision and the first byte lie two more turns, the attempt's task (upstream.rs, exchange) and the connection's (pool.rs, Socket): with many tasks ready each waits for all before it. Bodies still coming were looked at in the engine alone, as the runtime knew them.

Change: the engine's send, the exchange once it has its connection, and the socket right before the first byte ask the kernel through Progress::departed, no oftener than once a millisecond for a caller. Stopped at the first two the connection is kept, at the last it is closed unwritten; the attempt is NotSent, nothing of the upstream's.

Test: upstream::tests::nothing_is_written_for_a_caller_that_left_while_its_attempt_waited_for_its_turn.

--- a/sloeline/src/engine.rs
+++ b/sloeline/src/engine.rs
@@ -568,8 +568,8 @@
 
     /// Starts an attempt. What the rules forbid whatever the module says is not sent, and told so.
     fn send(self: &Rc<Self>, now: Micros, id: RequestId, server: ServerId, limit: Micros) {
-        // Guards the upstream against the beginning of a body that will never be whole.
-        let left = self.tables.borrow().open.get(&id).is_some_and(|open| W::broken_off(&open.call));
+        // Guards the upstream against work for nobody, and against the beginning of a body that will never be whole.
+        let left = self.tables.borrow().open.get(&id).is_some_and(|open| W::departed(&open.call));
         if left {
             self.gone(id);
         }
--- a/sloeline/src/engine/tests.rs
+++ b/sloeline/src/engine/tests.rs
@@ -21,7 +21,7 @@
     fn spent(_: &()) -> bool {
         false
     }
-    fn broken_off(_: &()) -> bool {
+    fn departed(_: &()) -> bool {
         false
     }
     fn begun(_: &()) -> bool {
--- a/sloeline/src/gate.rs
+++ b/sloeline/src/gate.rs
@@ -42,6 +42,10 @@
 const MOST_HEAD: usize = 16 * 1024;
 /// Read at once.
 const CHUNK: usize = 4096;
+/// For so long the kernel's word that a caller is there is taken for news.
+const FRESH: Duration = Duration::from_millis(1);
+/// So often a caller's socket is read in one look: more than a receive buffer holds.
+const MOST_READS: usize = 4096;
 
 /// What a connection is at.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -290,9 +294,17 @@
         poll_fn(|cx| Poll::Ready(look(cx))).await
     }
 
-    /// The caller has left in the middle of its request; see [`Inbound::broken_off`].
-    pub fn broken_off(&self) -> bool {
-        self.inbound.upgrade().is_some_and(|inbound| inbound.borrow().broken_off())
+    /// The same for anyone who asks: its connection is not polled, and one that was dropped has nobody behind it.
+    /// To be asked before each attempt's first byte. However long the connection waits for its turn, this asks the
+    /// kernel, unless it was asked just now.
+    pub fn departed(&self) -> bool {
+        let Some(inbound) = self.inbound.upgrade() else { return true };
+        let mut inbound = inbound.borrow_mut();
+        match self.stage() {
+            Stage::Open => inbound.departed(),
+            Stage::Body => inbound.broken_off(),
+            Stage::Idle | Stage::Head => false,
+        }
     }
 
     /// When it has been at this for too long; a request that is open has a clock of its own. Guards against a
@@ -353,12 +365,15 @@
     ended: bool,
     /// So much came behind an open request that some of it was dropped: nothing behind it is a request any more.
     flooded: bool,
+    /// When the kernel last said that the caller is there.
+    looked: Option<Instant>,
 }
 
 impl Inbound {
     /// Nothing read yet.
     pub fn new(stream: TcpStream) -> Rc<RefCell<Inbound>> {
-        Rc::new(RefCell::new(Inbound { stream, held: Vec::new(), ended: false, flooded: false }))
+        let (held, ended, flooded, looked) = (Vec::new(), false, false, None);
+        Rc::new(RefCell::new(Inbound { stream, held, ended, flooded, looked }))
     }
 
     /// Reads more into what is held, no more than `most`; tells how much it was.
@@ -378,10 +393,7 @@
     /// held; past the bound it is dropped, and its connection with the answer: an end behind it must be seen.
     pub fn poll_left(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         loop {
-            if self.held.len() >= MOST_HEAD {
-                self.flooded = true;
-                self.held.truncate(MOST_HEAD - CHUNK);
-            }
+            self.bound();
             match ready!(self.fill(cx, CHUNK)) {
                 Ok(1..) => {}
                 Ok(0) | Err(_) => return Poll::Ready(()),
@@ -389,6 +401,31 @@
         }
     }
 
+    /// Drops what is held past the bound.
+    fn bound(&mut self) {
+        if self.held.len() >= MOST_HEAD {
+            self.flooded = true;
+            self.held.truncate(MOST_HEAD - CHUNK);
+        }
+    }
+
+    /// The same as [`left`](Self::left) without a task to be woken, and no oftener than the kernel need be asked.
+    fn departed(&mut self) -> bool {
+        if self.ended || self.looked.is_some_and(|at| at.elapsed() < FRESH) {
+            return self.ended;
+        }
+        // Guards against a caller that sends as fast as this reads.
+        for _ in 0..MOST_READS {
+            self.bound();
+            match self.ask_kernel() {
+                Some(0) => return true,
+                Some(_) => {}
+                None => return false,
+            }
+        }
+        false
+    }
+
     /// Whether the caller has left by now; the runtime may not have looked since.
     fn left(&mut self, cx: &mut Context<'_>) -> bool {
         loop {
@@ -407,7 +444,10 @@
     fn ask_kernel(&mut self) -> Option<usize> {
         let mut chunk = [0; CHUNK];
         let read = match (&*SockRef::from(&self.stream)).read(&mut chunk) {
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return None,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                self.looked = Some(Instant::now());
+                return None;
+            }
             read => read.unwrap_or(0),
         };
         self.held.extend_from_slice(&chunk[..read]);
@@ -415,12 +455,17 @@
         Some(read)
     }
 
-    /// The caller of a request that is still coming has ended its sending, so that it never comes whole; known
-    /// once the runtime has looked, and without reading what may be far too much to hold.
-    pub fn broken_off(&self) -> bool {
+    /// The caller of a request that is still coming has ended its sending, so that it never comes whole; without
+    /// reading what may be far too much to hold. Behind unread bytes it is known once the runtime has looked.
+    fn broken_off(&self) -> bool {
         let looked =
             pin!(self.stream.ready(Interest::READABLE)).poll(&mut Context::from_waker(Waker::noop()));
-        self.ended || matches!(looked, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+        let mut byte = [MaybeUninit::uninit()];
+        let gone = match SockRef::from(&self.stream).peek(&mut byte) {
+            Ok(read) => read == 0,
+            Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+        };
+        self.ended || gone || matches!(looked, Poll::Ready(Ok(ready)) if ready.is_read_closed())
     }
 
     /// Something has come that was not passed on. Asks the kernel: the runtime may not have looked since, and a
--- a/sloeline/src/pool.rs
+++ b/sloeline/src/pool.rs
@@ -56,10 +56,23 @@
 struct Socket {
     stream: Rc<RefCell<TokioIo<TcpStream>>>,
     written: Rc<Cell<u64>>,
+    veto: Rc<Cell<Option<Veto>>>,
+    /// Nothing more is written.
+    stopped: Cell<bool>,
     _place: Place,
 }
 
+/// Asked right before a request's first byte is written: true ends the connection instead.
+pub type Veto = Box<dyn FnOnce() -> bool>;
+
 impl Socket {
+    fn may_write(&self) -> io::Result<()> {
+        if self.veto.take().is_some_and(|veto| veto()) {
+            self.stopped.set(true);
+        }
+        if self.stopped.get() { Err(io::ErrorKind::ConnectionAborted.into()) } else { Ok(()) }
+    }
+
     fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(n)) = written {
             self.written.set(self.written.get() + n as u64);
@@ -76,6 +89,7 @@
 
 impl Write for Socket {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.may_write()?;
         let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, buf);
         self.count(written)
     }
@@ -85,6 +99,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.may_write()?;
         let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(cx, bufs);
         self.count(written)
     }
@@ -111,6 +126,8 @@
     stream: Weak<RefCell<TokioIo<TcpStream>>>,
     /// Bytes written so far.
     pub written: Rc<Cell<u64>>,
+    /// Asked before the next byte is written.
+    pub veto: Rc<Cell<Option<Veto>>>,
     address: SocketAddr,
 }
 
@@ -237,8 +254,10 @@
         };
         let _ = stream.set_nodelay(true);
         let stream = Rc::new(RefCell::new(TokioIo::new(stream)));
-        let written = Rc::new(Cell::new(0));
-        let socket = Socket { stream: stream.clone(), written: written.clone(), _place: place };
+        let (written, veto) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(None)));
+        let (stopped, counted) = (Cell::default(), written.clone());
+        let socket =
+            Socket { stream: stream.clone(), written: counted, veto: veto.clone(), stopped, _place: place };
         let stream = Rc::downgrade(&stream);
         let (sender, connection) = http1::Builder::new()
             // A head that does not end is given up there.
@@ -249,7 +268,7 @@
         let driver = spawn_local(async move {
             let _ = connection.await;
         });
-        Ok(Conn { sender, driver: driver.abort_handle(), stream, written, address })
+        Ok(Conn { sender, driver: driver.abort_handle(), stream, written, veto, address })
     }
 
     /// Closes connections that have been idle too long; one sleep for all of them.
--- a/sloeline/src/server.rs
+++ b/sloeline/src/server.rs
@@ -584,7 +584,8 @@
         // A request that names the whole address is for this path all the same.
         let path = head.uri.path_and_query().cloned().ok_or(bad("no path"))?;
         let upload = matches!(body, Payload::Passed(_));
-        let call = Call { method: head.method, uri: path.into(), headers, body };
+        let caller = Some(Rc::downgrade(progress));
+        let call = Call { method: head.method, uri: path.into(), headers, body, caller };
         Ok(Asked { class, time_left, tenant, work, retry, upload, call })
     }
 }
--- a/sloeline/src/service.rs
+++ b/sloeline/src/service.rs
@@ -66,8 +66,8 @@
         call.spent()
     }
 
-    fn broken_off(call: &Call) -> bool {
-        call.broken_off()
+    fn departed(call: &Call) -> bool {
+        call.departed()
     }
 
     fn begun(out: &Attempt) -> bool {
--- a/sloeline/src/stream.rs
+++ b/sloeline/src/stream.rs
@@ -131,11 +131,6 @@
         self.spent.get()
     }
 
-    /// Its caller has left, as far as can be told without reading it.
-    pub fn broken_off(&self) -> bool {
-        self.end.get() != Some(End::Whole) && self.progress.broken_off()
-    }
-
     /// How it has ended, if it has.
     pub fn ended(&self) -> Option<End> {
         self.end.get()
--- a/sloeline/src/upstream.rs
+++ b/sloeline/src/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::engine::Report;
+use crate::gate::Progress;
 use crate::pool::{CONNECT_UNTOLD, Conn, Pool};
 use crate::stream::{Begun, End, MOST_HELD, Outgoing, Passed, Upload, begin_answer};
 use crate::wire::{Target, Wire};
@@ -34,6 +35,8 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Payload,
+    /// Who waits for the answer; nothing for a probe.
+    pub caller: Option<Weak<Progress>>,
 }
 
 /// A request's body.
@@ -50,9 +53,9 @@
         matches!(&self.body, Payload::Passed(upload) if upload.spent())
     }
 
-    /// Its caller has left before it was whole.
-    pub fn broken_off(&self) -> bool {
-        matches!(&self.body, Payload::Passed(upload) if upload.broken_off())
+    /// Its caller has left, so that no attempt may begin; see [`Progress::departed`].
+    pub fn departed(&self) -> bool {
+        self.caller.as_ref().is_some_and(|caller| caller.upgrade().is_none_or(|caller| caller.departed()))
     }
 
     fn request(&self, address: SocketAddr, limit: Option<Micros>) -> Request<Outgoing> {
@@ -116,6 +119,8 @@
 struct Flight {
     begun: RefCell<Option<Writing>>,
     call: Rc<Call>,
+    /// Stopped before its first byte: its caller had left.
+    vetoed: Rc<Cell<bool>>,
 }
 
 struct Writing {
@@ -126,12 +131,18 @@
 
 impl Flight {
     fn new(call: &Rc<Call>) -> Rc<Flight> {
-        Rc::new(Flight { begun: RefCell::new(None), call: call.clone() })
+        Rc::new(Flight { begun: RefCell::new(None), call: call.clone(), vetoed: Rc::default() })
     }
 
     fn begin(&self, conn: &Conn) {
         let (driver, written) = (conn.driver.clone(), conn.written.clone());
         let before = written.get();
+        let (call, vetoed) = (self.call.clone(), self.vetoed.clone());
+        // Guards the time between this and the writing: the connection's task waits for its turn as others do.
+        conn.veto.set(Some(Box::new(move || {
+            vetoed.set(call.departed());
+            vetoed.get()
+        })));
         *self.begun.borrow_mut() = Some(Writing { driver, written, before });
     }
 
@@ -252,7 +263,7 @@
         let pool = self.pool.clone();
         let uri = Uri::from_static("/health/live");
         let (headers, body) = (HeaderMap::new(), Payload::Whole(Bytes::new()));
-        let call = Rc::new(Call { method: Method::GET, uri, headers, body });
+        let call = Rc::new(Call { method: Method::GET, uri, headers, body, caller: None });
         spawn_local(async move {
             let (flight, start) = (Flight::new(&call), Instant::now());
             let ended = timeout(CONNECT_UNTOLD, exchange(&pool, to, None, &flight)).await;
@@ -288,6 +299,10 @@
                 Err(outcome) => return outcome.into(),
             },
         };
+        // Guards against a caller that left while this waited for its turn or its connection.
+        if flight.call.departed() {
+            return Exchanged { conn: Some(conn), ..Outcome::NotSent.into() };
+        }
         flight.begin(&conn);
         let left = limit.map(|l| l.saturating_sub(start.elapsed().as_micros() as Micros));
         match conn.sender.try_send_request(flight.call.request(to.address, left)).await {
@@ -300,7 +315,7 @@
                 if untouched && reused && !flight.call.spent() {
                     continue;
                 }
-                if flight.cut_off() {
+                if flight.cut_off() || flight.vetoed.get() {
                     return Outcome::NotSent.into();
                 }
                 let ran = !untouched && flight.may_have_run();
--- a/sloeline/src/upstream/tests.rs
+++ b/sloeline/src/upstream/tests.rs
@@ -24,7 +24,7 @@
 
 fn call(method: Method, body: Bytes) -> Rc<Call> {
     let (uri, body) = (Uri::from_static("/api"), Payload::Whole(body));
-    Rc::new(Call { method, uri, headers: HeaderMap::new(), body })
+    Rc::new(Call { method, uri, headers: HeaderMap::new(), body, caller: None })
 }
 
 fn look() -> Rc<Flight> {
@@ -137,3 +137,40 @@
     };
     assert_eq!(read, expected);
 }
+
+/// A request that has come whole, its caller's end, and what the server keeps of the connection.
+async fn waiting() -> (Rc<Flight>, TcpStream, impl Sized) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let client = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("it listens");
+    let inbound = crate::gate::Inbound::new(listener.accept().await.expect("a connection").0);
+    let progress = Progress::new(Rc::default(), &inbound);
+    progress.taken();
+    let (method, uri, headers) = (Method::GET, Uri::from_static("/api"), HeaderMap::new());
+    let (body, caller) = (Payload::Whole(Bytes::new()), Some(Rc::downgrade(&progress)));
+    (Flight::new(&Rc::new(Call { method, uri, headers, body, caller })), client, (inbound, progress))
+}
+
+#[test]
+fn nothing_is_written_for_a_caller_that_left_while_its_attempt_waited_for_its_turn() {
+    with(9, async |upstreams, listener, to| {
+        let (mut stream, _) = once(&upstreams, &listener, to).await;
+        let (flight, client, _kept) = waiting().await;
+        drop(client);
+        // Nothing was polled since: only the kernel can tell.
+        let ended = exchange(&upstreams.pool, to, None, &flight).await;
+        assert_eq!((ended.outcome, flight.begun.borrow().is_none()), (Outcome::NotSent, true));
+        // Its connection is kept for others.
+        put_when_ready(&upstreams.pool, to.server, ended.conn.expect("the connection")).await;
+        assert_eq!(upstreams.pool.open(), 1);
+        // The next leaves after its attempt has its connection, before that has its turn to write.
+        let (flight, client, _kept) = waiting().await;
+        let mut exchange = Box::pin(exchange(&upstreams.pool, to, None, &flight));
+        assert!(
+            std::future::poll_fn(|cx| std::task::Poll::Ready(exchange.as_mut().poll(cx).is_pending())).await
+        );
+        drop(client);
+        std::thread::sleep(Duration::from_millis(2));
+        assert_eq!(exchange.await.outcome, Outcome::NotSent);
+        assert_eq!(stream.read(&mut [0]).await.expect("an end"), 0, "something was written");
+    });
+}
--- a/sloeline/src/wire.rs
+++ b/sloeline/src/wire.rs
@@ -22,8 +22,8 @@
     fn send(&self, to: Target, call: Rc<Self::Call>, limit: Micros, report: Report<Self>) -> Self::Out;
     /// A part of what is asked has gone on and was not kept: it cannot be sent again.
     fn spent(call: &Self::Call) -> bool;
-    /// The caller has left before all of what it asks had come.
-    fn broken_off(call: &Self::Call) -> bool;
+    /// The caller has left, as far as the kernel knows at this moment.
+    fn departed(call: &Self::Call) -> bool;
     /// The attempt has a connection: its request is being written or is written.
     fn begun(out: &Self::Out) -> bool;
     /// Ends an attempt by closing its connection; tells whether it may have run.
