--- a/sloeline/src/upstream/tests.rs
+++ b/sloeline/src/upstream/tests.rs
@@ -170,7 +170,8 @@
         );
         drop(client);
         std::thread::sleep(Duration::from_millis(2));
-        assert_eq!(exchange.await.outcome, Outcome::NotSent);
+        let ended = timeout(Duration::from_secs(10), exchange).await.expect("it waits for an answer");
+        assert_eq!(ended.outcome, Outcome::NotSent);
         assert_eq!(stream.read(&mut [0]).await.expect("an end"), 0, "something was written");
     });
 }
