--- a/fleet/src/day.rs
+++ b/fleet/src/day.rs
@@ -8,6 +8,9 @@
 use crate::draw;
 use crate::span::Span;
 
+/// Most tiers of a day: calls go 30 deep.
+const MOST_TIERS: usize = 32;
+
 /// A whole day. What a field leaves open is drawn from `seed` as the day is played.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -449,6 +452,10 @@
     Resets,
     /// A zone's servers vanish without a word and return cold.
     ZoneLost,
+    /// The same for single servers, of a rack or a machine; their balancers stay.
+    Vanished,
+    /// A zone is cut off from all others but those that are cut off with it.
+    ZoneCut,
     /// Servers go and others, with other ids at the same addresses, start cold.
     Replaced,
     /// Balancers are killed and start again after `length`.
@@ -626,7 +633,7 @@
         let prices = [p.waste, p.cross_zone, p.late_fail, p.probe, p.handshake, p.choke];
         test(prices.iter().all(|x| zero_or_more(*x)), path!["prices"], "a price is zero or more");
         test(!self.tiers.is_empty(), path!["tier"], "describe at least one tier in a [[tier]] table");
-        test(self.tiers.len() <= 8, path!["tier"], "at most eight tiers");
+        test(self.tiers.len() <= MOST_TIERS, path!["tier"], "at most 32 tiers");
         for (i, t) in self.tiers.iter().enumerate() {
             let at = |key: &'static str| path!["tier", i, key];
             test(t.servers.len() == zones, at("servers"), "give the number of servers in each zone");
@@ -714,7 +721,8 @@
             );
             let known = f.zone.as_ref().is_none_or(|z| self.zones.contains(z));
             test(known, at("zone"), "no such zone in `zones`");
-            test(f.kind != K::ZoneLost || f.zone.is_some(), at("zone"), "name the zone that is lost");
+            let zoned = matches!(f.kind, K::ZoneLost | K::ZoneCut);
+            test(!zoned || f.zone.is_some(), at("zone"), "name the zone that is lost or cut off");
             let known = f.class.as_ref().is_none_or(|c| self.classes.iter().any(|k| k.name == *c));
             test(known, at("class"), "no such class");
             test(f.kind != K::HeavyTail || f.class.is_some(), at("class"), "name the class that is heavy");
--- /dev/null
+++ b/fleet/src/depth.rs
@@ -0,0 +1,471 @@
+//! What one first call becomes at the bottom of many tiers: attempts, goodput, time left, work for nobody.
+
+use rayon::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::day::*;
+use crate::judge::TierCount;
+use crate::policy::Kind;
+use crate::span::Span;
+use crate::world::play;
+
+/// Servers of every tier; as many balancers call the first.
+pub const SERVERS: u32 = 20;
+/// Calls a second to one balancer: what a balancer of the planned fleet has.
+pub const RATE: f64 = 225.0;
+/// Mean work of a call at a server of one tier; with two cores and `RATE` they are 45% busy.
+const WORK_MS: f64 = 4.0;
+/// Time for a tier: an answer within the first is worth all, after the second nobody waits.
+const AIM_MS: f64 = 50.0;
+const DEADLINE_MS: f64 = 100.0;
+/// The whole deadline where it does not grow with the tiers.
+const FIXED_DEADLINE_MS: f64 = 800.0;
+/// What arrives sooner is not counted: balancers start without having learned anything.
+const WARM_UP: usize = 2;
+
+/// What is wrong with the last tier, for the whole day.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Trouble {
+    /// Nothing.
+    Healthy,
+    /// The same, with one deadline for every depth.
+    FixedDeadline,
+    /// One server of twenty fails one request in five: one in a hundred fails.
+    OnePercent,
+    /// One server of twenty fails every request.
+    FivePercent,
+    /// Every server fails one request in five.
+    TwentyPercent,
+    /// Every server takes 1.8 times as long: 81% busy instead of 45%.
+    Slow,
+}
+
+impl Trouble {
+    /// All of them.
+    pub const ALL: [Trouble; 6] = [
+        Trouble::Healthy,
+        Trouble::FixedDeadline,
+        Trouble::OnePercent,
+        Trouble::FivePercent,
+        Trouble::TwentyPercent,
+        Trouble::Slow,
+    ];
+
+    /// Its name in tables.
+    pub fn name(self) -> &'static str {
+        match self {
+            Trouble::Healthy => "healthy",
+            Trouble::FixedDeadline => "healthy, deadline fixed",
+            Trouble::OnePercent => "1% fail in the last",
+            Trouble::FivePercent => "5% of the last fail",
+            Trouble::TwentyPercent => "20% fail in the last",
+            Trouble::Slow => "the last is slow",
+        }
+    }
+}
+
+/// What to play.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Sizes {
+    /// Depths, in tiers.
+    pub tiers: Vec<usize>,
+    /// What is wrong.
+    pub troubles: Vec<Trouble>,
+    /// Days of each, with seeds counted up from the first.
+    pub seeds: u64,
+    /// Length of a day in seconds, of which the first two are not counted.
+    pub seconds: f64,
+}
+
+impl Default for Sizes {
+    fn default() -> Sizes {
+        Sizes { tiers: vec![2, 4, 8, 16, 30], troubles: Trouble::ALL.to_vec(), seeds: 4, seconds: 6.0 }
+    }
+}
+
+impl Sizes {
+    /// A minute's worth: two seeds, shorter days.
+    pub fn quick() -> Sizes {
+        Sizes { seeds: 2, seconds: 3.5, ..Sizes::default() }
+    }
+}
+
+/// A mean over days, with half the width of its 95% interval (Student's t over the seeds; 0 with one seed).
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Mean {
+    /// The mean.
+    pub mean: f64,
+    /// Half the width.
+    pub half: f64,
+}
+
+impl Mean {
+    fn of(values: &[f64]) -> Mean {
+        // Two-sided 95% by degrees of freedom; beyond the table the normal one is close enough.
+        const T: [f64; 9] = [12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26];
+        let n = values.len() as f64;
+        let mean = values.iter().sum::<f64>() / n.max(1.0);
+        if values.len() < 2 {
+            return Mean { mean, half: 0.0 };
+        }
+        let variance = values.iter().map(|v| (v - mean).powi(2)).sum::<f64>() / (n - 1.0);
+        let t = T.get(values.len() - 2).copied().unwrap_or(2.0);
+        Mean { mean, half: t * (variance / n).sqrt() }
+    }
+}
+
+/// A straight line through points, and the lines through their lower and upper half: where these differ, it bends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Fit {
+    /// Slope.
+    pub slope: f64,
+    /// Intercept.
+    pub intercept: f64,
+    /// Part of the variance that the line explains.
+    pub r2: f64,
+    /// Slope of the lower half of the points, the middle one included.
+    pub lower: f64,
+    /// Slope of the upper half.
+    pub upper: f64,
+}
+
+impl Fit {
+    /// Least squares; points in order of x.
+    pub fn of(points: &[(f64, f64)]) -> Fit {
+        let (slope, intercept, r2) = line(points);
+        let half = points.len().div_ceil(2);
+        let (lower, upper) = (line(&points[..half]).0, line(&points[points.len() - half..]).0);
+        Fit { slope, intercept, r2, lower, upper }
+    }
+}
+
+fn line(points: &[(f64, f64)]) -> (f64, f64, f64) {
+    let n = points.len().max(1) as f64;
+    let (mx, my) = (points.iter().map(|p| p.0).sum::<f64>() / n, points.iter().map(|p| p.1).sum::<f64>() / n);
+    let sxy: f64 = points.iter().map(|(x, y)| (x - mx) * (y - my)).sum();
+    let sxx: f64 = points.iter().map(|(x, _)| (x - mx).powi(2)).sum();
+    let syy: f64 = points.iter().map(|(_, y)| (y - my).powi(2)).sum();
+    let slope = if sxx > 0.0 { sxy / sxx } else { 0.0 };
+    let r2 = if sxx > 0.0 && syy > 0.0 { sxy * sxy / (sxx * syy) } else { 1.0 };
+    (slope, my - slope * mx, r2)
+}
+
+/// A depth with a trouble, over all seeds.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// What is wrong.
+    pub trouble: Trouble,
+    /// Tiers.
+    pub tiers: usize,
+    /// First calls counted, over all seeds.
+    pub calls: u64,
+    /// Answered within the aim, of all first calls.
+    pub goodput: Mean,
+    /// Answered within the deadline.
+    pub answered: Mean,
+    /// Attempts in the last tier for one first call.
+    pub bottom: Mean,
+    /// Attempts in each tier for a request that came to it.
+    pub amplification: Vec<f64>,
+    /// Requests that came to each tier, for one first call.
+    pub requests: Vec<f64>,
+    /// Share of the deadline left as a request came to each tier.
+    pub time_left: Vec<f64>,
+    /// Work of each tier that no client's answer came of, as a share of the work that it did.
+    pub wasted: Vec<f64>,
+    /// The same over all tiers.
+    pub waste: Mean,
+    /// Rules broken.
+    pub broken: u64,
+}
+
+/// A trouble's slope over the depths.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Slope {
+    /// What is wrong.
+    pub trouble: Trouble,
+    /// Natural logarithm of the attempts in the last tier for one first call, by tiers.
+    pub amplification: Fit,
+    /// Goodput by tiers.
+    pub goodput: Fit,
+    /// Work for nobody by tiers.
+    pub waste: Fit,
+}
+
+/// What came of it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Depth {
+    /// The first seed.
+    pub seed: u64,
+    /// What was played.
+    pub sizes: Sizes,
+    /// A line a depth and trouble.
+    pub rows: Vec<Row>,
+    /// A line a trouble.
+    pub slopes: Vec<Slope>,
+}
+
+struct One {
+    calls: f64,
+    good: f64,
+    answered: f64,
+    tiers: Vec<TierCount>,
+    served_work: f64,
+    broken: u64,
+}
+
+/// Plays it; `done` is called after each day.
+///
+/// # Errors
+///
+/// The sizes ask for a day that cannot be played.
+pub fn run(seed: u64, sizes: &Sizes, done: impl Fn() + Sync) -> Result<Depth, DayError> {
+    let mut cells = Vec::new();
+    for &trouble in &sizes.troubles {
+        // The longest first, so that no thread is left alone with one at the end.
+        for &tiers in sizes.tiers.iter().rev() {
+            (0..sizes.seeds).for_each(|n| cells.push((trouble, tiers, seed + n)));
+        }
+    }
+    cells.sort_by_key(|c| std::cmp::Reverse(c.1));
+    let mut played: Vec<(Trouble, usize, One)> = cells
+        .into_par_iter()
+        .with_max_len(1)
+        .map(|(trouble, tiers, seed)| {
+            let one = one(&day(tiers, trouble, seed, sizes.seconds))?;
+            done();
+            Ok((trouble, tiers, one))
+        })
+        .collect::<Result<_, DayError>>()?;
+    played.sort_by_key(|p| (p.0 as usize, p.1));
+    let rows: Vec<Row> = played.chunk_by(|a, b| (a.0, a.1) == (b.0, b.1)).map(|days| row(days)).collect();
+    let slopes = rows.chunk_by(|a, b| a.trouble == b.trouble).map(slope).collect();
+    Ok(Depth { seed, sizes: sizes.clone(), rows, slopes })
+}
+
+fn one(day: &Day) -> Result<One, DayError> {
+    let played = play(day, Kind::Module, false)?;
+    let d = &played.detail;
+    let mut tiers = vec![TierCount::default(); day.tiers.len()];
+    for second in d.tiers.iter().skip(WARM_UP) {
+        for (sum, t) in tiers.iter_mut().zip(second) {
+            sum.requests += t.requests;
+            sum.attempts += t.attempts;
+            sum.time_left += t.time_left;
+            sum.work += t.work;
+        }
+    }
+    let (mut calls, mut good, mut answered) = (0, 0, 0);
+    for s in d.seconds.iter().skip(WARM_UP) {
+        calls += s.served + s.late + s.refused + s.failed;
+        good += s.served;
+        answered += s.served + s.late;
+    }
+    Ok(One {
+        calls: f64::from(calls),
+        good: f64::from(good),
+        answered: f64::from(answered),
+        tiers,
+        served_work: d.served_work.iter().skip(WARM_UP).sum(),
+        broken: played.result.broken,
+    })
+}
+
+fn row(days: &[(Trouble, usize, One)]) -> Row {
+    let (trouble, tiers) = (days[0].0, days[0].1);
+    let over = |value: &dyn Fn(&One) -> f64| Mean::of(&days.iter().map(|d| value(&d.2)).collect::<Vec<_>>());
+    let by_tier = |value: &dyn Fn(&One, &TierCount) -> f64| -> Vec<f64> {
+        (0..tiers)
+            .map(|t| days.iter().map(|d| value(&d.2, &d.2.tiers[t])).sum::<f64>() / days.len() as f64)
+            .collect()
+    };
+    let share = |part: f64, of: f64| if of > 0.0 { part / of } else { 0.0 };
+    Row {
+        trouble,
+        tiers,
+        calls: days.iter().map(|d| d.2.calls as u64).sum(),
+        goodput: over(&|d| share(d.good, d.calls)),
+        answered: over(&|d| share(d.answered, d.calls)),
+        bottom: over(&|d| share(d.tiers[tiers - 1].attempts as f64, d.calls)),
+        amplification: by_tier(&|_, t| share(t.attempts as f64, t.requests as f64)),
+        requests: by_tier(&|d, t| share(t.requests as f64, d.calls)),
+        time_left: by_tier(&|_, t| share(t.time_left, t.requests as f64)),
+        wasted: by_tier(&|d, t| share(t.work - d.served_work, t.work).max(0.0)),
+        waste: over(&|d| {
+            let work: f64 = d.tiers.iter().map(|t| t.work).sum();
+            share(work - d.served_work * tiers as f64, work).max(0.0)
+        }),
+        broken: days.iter().map(|d| d.2.broken).sum(),
+    }
+}
+
+fn slope(rows: &[Row]) -> Slope {
+    let fit = |value: &dyn Fn(&Row) -> f64| {
+        Fit::of(&rows.iter().map(|r| (r.tiers as f64, value(r))).collect::<Vec<_>>())
+    };
+    Slope {
+        trouble: rows[0].trouble,
+        amplification: fit(&|r| r.bottom.mean.max(1e-9).ln()),
+        goodput: fit(&|r| r.goodput.mean),
+        waste: fit(&|r| r.waste.mean),
+    }
+}
+
+/// A day of so many equal tiers, each equally busy: a request makes one call of the next tier.
+pub fn day(tiers: usize, trouble: Trouble, seed: u64, seconds: f64) -> Day {
+    let mut day = plain(seed, seconds, vec!["a".to_owned()], SERVERS, RATE * f64::from(SERVERS));
+    let whole =
+        if trouble == Trouble::FixedDeadline { FIXED_DEADLINE_MS } else { DEADLINE_MS * tiers as f64 };
+    let c = &mut day.classes[0];
+    (c.work, c.most_work) = (Span::ms(WORK_MS), Span::ms(4.0 * WORK_MS));
+    (c.aim, c.deadline) = (Span::ms(whole * AIM_MS / DEADLINE_MS), Span::ms(whole));
+    let mut one = day.tiers[0].clone();
+    one.servers = vec![SERVERS];
+    one.calls = 1.0;
+    day.tiers = vec![one; tiers];
+    for (i, t) in day.tiers.iter_mut().enumerate() {
+        t.name = format!("tier {i}");
+    }
+    let last = tiers - 1;
+    day.tiers[last].calls = 0.0;
+    day.name = format!("{} tiers, {}", tiers, trouble.name());
+    let fault = |kind, which: Vec<usize>, share, factor| {
+        let mut f = fault(kind, 0.0, seconds);
+        (f.tier, f.which, f.share, f.factor) = (last, which, share, factor);
+        f
+    };
+    day.faults = match trouble {
+        Trouble::Healthy | Trouble::FixedDeadline => Vec::new(),
+        Trouble::OnePercent => vec![fault(FaultKind::FastErrors, vec![3], 0.2, 1.0)],
+        Trouble::FivePercent => vec![fault(FaultKind::FastErrors, vec![3], 1.0, 1.0)],
+        Trouble::TwentyPercent => vec![fault(FaultKind::FastErrors, Vec::new(), 0.2, 1.0)],
+        Trouble::Slow => vec![fault(FaultKind::Slow, Vec::new(), 1.0, 1.8)],
+    };
+    day
+}
+
+/// A fault that befalls all of the first tier.
+pub(crate) fn fault(kind: FaultKind, at: f64, length: f64) -> Fault {
+    Fault {
+        kind,
+        at: Span::s(at),
+        length: Span::s(length),
+        tier: 0,
+        which: Vec::new(),
+        zone: None,
+        class: None,
+        share: 1.0,
+        factor: 1.0,
+        learned: false,
+        restarts: false,
+        drain: Span(0),
+    }
+}
+
+/// A day of one tier and one class without troubles: `servers` in each zone, as many balancers, equal clients who
+/// do not try again. Nothing but cores is scarce, so that the tiers of a deep day are alike.
+pub(crate) fn plain(seed: u64, seconds: f64, zones: Vec<String>, servers: u32, rate: f64) -> Day {
+    let balancers = zones.iter().cycle().take(zones.len() * servers as usize).cloned().collect();
+    Day {
+        name: String::new(),
+        seed,
+        length: Span::s(seconds),
+        network: Network {
+            same_zone: Span::ms(0.1),
+            cross_zone: Span::ms(0.5),
+            client: Span::ms(0.1),
+            jitter: 0.2,
+        },
+        discovery: Discovery {
+            mode: Asking::Push,
+            notice: Span::ms(200.0),
+            silent_notice: Span::s(3.0),
+            add: Span::ms(500.0),
+            period: Span::ms(200.0),
+            spread: Span::ms(500.0),
+            failing: 0.0,
+        },
+        passes_deadline: true,
+        balancers: Balancers {
+            zones: balancers,
+            cores: 1.0,
+            event_cost: Span(10),
+            clock_spread: Span(0),
+            notice: Span::s(1.0),
+        },
+        load: Load {
+            rate,
+            swing: 0.0,
+            shape: Shape::Wave,
+            zone_shares: vec![1.0; zones.len()],
+            over_share_worth: 1.0,
+        },
+        clients: Clients { retries: 0, try_share: 1.0, backoff: Span::ms(50.0), honour: 1.0, impatient: 0.0 },
+        limits: Limits {
+            max_attempts: 4,
+            max_open: 100_000,
+            second_copies: false,
+            probes: false,
+            retry_after: true,
+            max_retry_after: Span::s(2.0),
+        },
+        rules: Rules {
+            drain_grace: Span::s(1.0),
+            answer_grace: Span::ms(20.0),
+            overload_factor: 2.0,
+            tip_after: Span::s(1.0),
+            ask_within: Span::s(10.0),
+        },
+        goal: Goal { whole: 1.0, worst_window: 0.0, worst_class: 0.0, worst_tenant: 0.0 },
+        prices: Prices::default(),
+        tiers: vec![Tier {
+            name: "upstreams".to_owned(),
+            servers: vec![servers; zones.len()],
+            work: 1.0,
+            calls: 0.0,
+            cell_size: 4,
+            cores: 2,
+            speed: 1.0,
+            speed_cv: 0.0,
+            slots: 100_000,
+            waiting: 100_000,
+            thrash: 0.0,
+            crowded: 100_000.0,
+            cold_from: 0.3,
+            warm_after: Span::s(10.0),
+            pause_every: Span(0),
+            pause: Span(0),
+            pause_grow: 0.0,
+            error_rate: 0.0,
+            connections: Connections {
+                handshake_trips: 1.0,
+                handshake_work: Span(0),
+                idle_close: Span::s(30.0),
+                connect_timeout: Span::ms(100.0),
+                most: 1_000_000,
+                full_tax: 0.0,
+            },
+            probe_work: Span::ms(1.0),
+            choke: None,
+        }],
+        zones,
+        classes: vec![Class {
+            name: "call".to_owned(),
+            share: 1.0,
+            work: Span::ms(100.0),
+            spread: Spread::Lognormal,
+            cv: 0.5,
+            most_work: Span::ms(400.0),
+            attempt_noise: 0.0,
+            aim: Span::s(1.0),
+            deadline: Span::s(2.0),
+            worth: 1.0,
+            late_worth: 0.5,
+            effect: Effect::Safe,
+            repeats_dropped: Span(0),
+        }],
+        tenants: Vec::new(),
+        faults: Vec::new(),
+    }
+}
--- a/fleet/src/judge.rs
+++ b/fleet/src/judge.rs
@@ -188,6 +188,32 @@
     pub events: u64,
     pub breaches: Vec<Breach>,
     pub broken: u64,
+    pub tiers: Vec<Vec<TierCount>>,
+    pub news: Vec<NewsCount>,
+}
+
+/// What a tier had to do, for the first tries of one second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct TierCount {
+    /// Requests that reached a balancer of the tier.
+    pub requests: u64,
+    /// Attempts that these sent to its servers.
+    pub attempts: u64,
+    /// Sum over the requests of the share of their class's deadline that was left as they came.
+    pub time_left: f64,
+    /// Work that its servers did, in microseconds.
+    pub work: f64,
+}
+
+/// What discovery sent and was asked, in one second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NewsCount {
+    /// Lists and changes sent to balancers.
+    pub messages: u64,
+    /// Entries in them.
+    pub entries: u64,
+    /// Calls of balancers.
+    pub calls: u64,
 }
 
 /// Ends of requests by the second in which they arrived.
@@ -266,6 +292,12 @@
     pub losses: Vec<Loss>,
     /// Servers by second.
     pub servers: Vec<Vec<Sample>>,
+    /// What each tier had to do, by second in which the first try arrived.
+    pub tiers: Vec<Vec<TierCount>>,
+    /// By the same second, work of one call of every tier for first tries that were served, in microseconds.
+    pub served_work: Vec<f64>,
+    /// What discovery had to do, by second.
+    pub discovery: Vec<NewsCount>,
 }
 
 /// A server in one second.
@@ -321,6 +353,7 @@
     let mut by_class = vec![Worth::default(); day.classes.len()];
     let mut by_tenant = vec![Worth::default(); day.tenants.len()];
     let (mut whole, mut late_failed) = (Worth::default(), 0.0);
+    let mut served_work = vec![0.0; by_second.len()];
     let mut ends = Second::default();
     let mut losses: std::collections::BTreeMap<(usize, Option<u32>, usize), f64> = Default::default();
     for a in arrivals {
@@ -338,6 +371,9 @@
             End::Refused(_) => s.refused += 1,
             End::Failed(_) | End::Open => s.failed += 1,
         };
+        if matches!(a.end, End::Served(_)) {
+            served_work[second] += a.work;
+        }
         let (mut total, mut one) = (ends, by_second[second]);
         count(&mut total);
         count(&mut one);
@@ -422,7 +458,8 @@
         events: tally.events,
         breaches: tally.breaches,
     };
-    (result, Detail { seconds: by_second, losses, servers: Vec::new() })
+    let (tiers, discovery) = (tally.tiers, tally.news);
+    (result, Detail { seconds: by_second, losses, servers: Vec::new(), tiers, served_work, discovery })
 }
 
 /// Work of all tiers for a request whose one call costs 1.
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -4,8 +4,10 @@
 //! result to the byte on every machine. `docs/model.md` says what is modelled and how far it holds.
 
 pub mod day;
+pub mod depth;
 mod draw;
 pub mod experiment;
+pub mod failures;
 pub mod judge;
 pub mod kinds;
 pub mod policy;
--- a/fleet/src/world/calls.rs
+++ b/fleet/src/world/calls.rs
@@ -18,8 +18,12 @@
 const LEAST: Micros = 1_000;
 
 impl World<'_> {
-    /// A number of its own for every attempt, the same whatever the policy did before.
     fn key(&self, attempt: AttemptAt) -> u64 {
+        self.attempts[attempt as usize].key
+    }
+
+    /// A number of its own for every attempt, the same whatever the policy did before.
+    pub(super) fn new_key(&self, attempt: AttemptAt) -> u64 {
         let Attempt { request, number, process, .. } = self.attempts[attempt as usize];
         let r = &self.requests[request as usize];
         let who = match r.caller {
@@ -27,7 +31,12 @@
             Caller::Job(job) => {
                 let job = &self.jobs[job as usize];
                 let above = &self.attempts[job.attempt as usize];
-                u64::from(job.calls_left) << 8 | u64::from(above.number) << 16
+                let who = u64::from(job.calls_left) << 8 | u64::from(above.number) << 16;
+                match self.requests[above.request as usize].caller {
+                    Caller::Client { .. } => who,
+                    // Prevents a repeat further up from meeting the very draws of the attempt before.
+                    Caller::Job(_) => draw::pair(who, above.key),
+                }
             }
         };
         let tier = self.processes[process as usize].tier as u64;
@@ -47,7 +56,8 @@
         let Attempt { process, to, limit, .. } = self.attempts[attempt as usize];
         self.after(limit, Ev::Limit { attempt });
         let s = &self.servers[to as usize];
-        let (up, vanished, epoch, tier) = (s.up, s.vanished, s.epoch, s.tier);
+        let (up, epoch, tier) = (s.up, s.epoch, s.tier);
+        let unreachable = s.vanished || self.severed(process, to);
         let full = s.table_full();
         let place = s.place as u32;
         let close = self.day.tiers[tier].connections.idle_close.0;
@@ -68,7 +78,7 @@
         }
         let a = &mut self.attempts[attempt as usize];
         (a.connected, a.fresh) = (found, !found);
-        if vanished {
+        if unreachable {
             if !found {
                 let wait = self.day.tiers[tier].connections.connect_timeout.0;
                 self.after(wait, Ev::Answer { attempt, outcome: Outcome::ConnectFailed });
@@ -126,7 +136,7 @@
         }
         let way = self.away(attempt, 1);
         let s = &self.servers[to as usize];
-        if s.vanished {
+        if s.vanished || self.severed(process, to) {
             return;
         }
         if !s.up || s.epoch != epoch {
@@ -224,10 +234,13 @@
         self.tally.work += segment;
         let s = &mut self.servers[server as usize];
         s.pending = (s.pending - segment).max(0.0);
+        let tier = s.tier;
+        self.count(arrival, tier).work += segment;
         let own = elapsed.min(segment as Micros);
         let a = &mut self.arrivals[arrival as usize];
         a.charge(Cause::Work, None, own);
         a.charge(cause, Some(server), elapsed - own);
+        let j = &mut self.jobs[job as usize];
         if j.calls_left == 0 {
             return self.finish(job, Outcome::Ok);
         }
@@ -296,6 +309,10 @@
         if ended || !self.processes[process as usize].alive {
             return;
         }
+        // A connection that did not come up is seen on this side of a cut, an answer does not cross it.
+        if outcome != Outcome::ConnectFailed && self.severed(process, to) {
+            return;
+        }
         let cause = match outcome {
             Outcome::Error if job.is_none() => Some(Cause::Error),
             Outcome::Reset => Some(Cause::Reset),
--- a/fleet/src/world/faults.rs
+++ b/fleet/src/world/faults.rs
@@ -124,6 +124,8 @@
                 }
             }
             FaultKind::ZoneLost => self.zone(f, on),
+            FaultKind::ZoneCut => self.cut_off(f, on),
+            FaultKind::Vanished => targets.into_iter().for_each(|place| self.vanish(self.places[place], on)),
             FaultKind::DiscoveryOutage => self.outage(on),
             FaultKind::Evacuated => {
                 for balancer in targets {
@@ -209,19 +211,8 @@
         let zone = zone as u32;
         for place in 0..self.places.len() {
             let server = self.places[place];
-            let s = &mut self.servers[server as usize];
-            if s.zone != zone || s.fallen {
-                continue;
-            }
-            if lost {
-                s.vanished = true;
-                if let Some(process) = self.behind[server as usize] {
-                    self.end_process(process, false);
-                }
-                self.changed(server, Listed::Gone, true);
-            } else {
-                self.stop_server(server, true);
-                self.start_server(server);
+            if self.servers[server as usize].zone == zone {
+                self.vanish(server, lost);
             }
         }
         let notice = self.day.balancers.notice.0;
@@ -241,6 +232,47 @@
         }
     }
 
+    /// A server's machine vanishes without a word, or is back with a cold process.
+    fn vanish(&mut self, server: ServerAt, lost: bool) {
+        let s = &mut self.servers[server as usize];
+        if s.fallen {
+            return;
+        }
+        if lost {
+            s.vanished = true;
+            if let Some(process) = self.behind[server as usize] {
+                self.end_process(process, false);
+            }
+            self.changed(server, Listed::Gone, true);
+        } else {
+            self.stop_server(server, true);
+            self.start_server(server);
+        }
+    }
+
+    /// What crosses the cut is lost without a word. Discovery is on the side that is not cut off: it takes the
+    /// servers beyond for gone, and the balancers there hear nothing until it is over, then the whole list.
+    fn cut_off(&mut self, f: &Fault, on: bool) {
+        let Some(zone) = self.day.zones.iter().position(|z| Some(z) == f.zone.as_ref()) else { return };
+        self.cut[zone] = on;
+        for server in 0..self.servers.len() as ServerAt {
+            let s = &self.servers[server as usize];
+            if s.zone != zone as u32 || !s.up || s.vanished {
+                continue;
+            }
+            let state = if on { Listed::Gone } else { Listed::Ready(s.started) };
+            self.changed(server, state, on);
+        }
+        for process in 0..self.processes.len() {
+            let p = &self.processes[process];
+            if !on && p.alive && p.watching && p.zone == zone as u32 {
+                let late = draw::unit(self.day.seed, For::News, draw::pair(process as u64, self.now));
+                let late = (late * self.day.discovery.spread.0 as f64) as Micros;
+                self.after(late, Ev::News { process: process as u32, whole: true });
+            }
+        }
+    }
+
     fn outage(&mut self, on: bool) {
         self.discovery_down = on;
         if on {
--- a/fleet/src/world/mod.rs
+++ b/fleet/src/world/mod.rs
@@ -14,7 +14,7 @@
 
 use crate::day::{Day, DayError};
 use crate::draw::{self, For};
-use crate::judge::{self, Arrival, Breach, Detail, Result, Rule, Sample, Tally};
+use crate::judge::{self, Arrival, Breach, Detail, NewsCount, Result, Rule, Sample, Tally, TierCount};
 use crate::policy::{Kind, Policy};
 use crate::server::{JobId, Server};
 
@@ -165,6 +165,8 @@
     /// The server's process that its connection leads to; none where nobody answers.
     epoch: u32,
     job: Option<JobId>,
+    /// Decides its draws, the same whatever the policy did before.
+    key: u64,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -276,6 +278,8 @@
     /// Discovery's log, by tier.
     log: Vec<Vec<news::Change>>,
     discovery_down: bool,
+    /// Zones that are cut off from the others.
+    cut: Vec<bool>,
     /// Servers that operators have taken out.
     by_hand: Vec<ServerAt>,
     /// Heavy requests: class, share, factor, since.
@@ -346,6 +350,7 @@
             jobs: Vec::new(),
             log: day.tiers.iter().map(|_| Vec::new()).collect(),
             discovery_down: false,
+            cut: vec![false; day.zones.len()],
             by_hand: Vec::new(),
             heavy: Vec::new(),
             fallen: 0,
@@ -454,6 +459,33 @@
         (base.0 as f64 * (1.0 + late)) as Micros
     }
 
+    /// What goes from one zone to the other is lost.
+    fn severed(&self, process: ProcessAt, server: ServerAt) -> bool {
+        let (from, to) = (self.processes[process as usize].zone, self.servers[server as usize].zone);
+        self.cut[from as usize] != self.cut[to as usize]
+    }
+
+    /// Counts of a tier, for requests that arrived in the same second as this one.
+    fn count(&mut self, arrival: u32, tier: usize) -> &mut TierCount {
+        let second = (self.arrivals[arrival as usize].at / SECOND) as usize;
+        let tiers = self.day.tiers.len();
+        let all = &mut self.tally.tiers;
+        if all.len() <= second {
+            all.resize_with(second + 1, || vec![TierCount::default(); tiers]);
+        }
+        &mut all[second][tier]
+    }
+
+    /// Counts of discovery's side in this second.
+    fn news_count(&mut self) -> &mut NewsCount {
+        let second = (self.now / SECOND) as usize;
+        let all = &mut self.tally.news;
+        if all.len() <= second {
+            all.resize_with(second + 1, NewsCount::default);
+        }
+        &mut all[second]
+    }
+
     fn breach(&mut self, rule: Rule, process: ProcessAt, server: Option<ServerAt>, what: String) {
         self.tally.broken += 1;
         if self.tally.breaches.len() >= TOLD {
--- a/fleet/src/world/news.rs
+++ b/fleet/src/world/news.rs
@@ -85,7 +85,7 @@
     /// Discovery tells a process what it has not heard, or everything.
     pub(super) fn tell_news(&mut self, process: ProcessAt, whole: bool) {
         let p = &self.processes[process as usize];
-        if !p.alive || self.discovery_down {
+        if !p.alive || self.discovery_down || self.cut[p.zone as usize] {
             return;
         }
         let (tier, heard) = (p.tier, p.heard);
@@ -118,7 +118,8 @@
     pub(super) fn ask(&mut self, process: ProcessAt, once: bool) {
         let key = draw::pair(u64::from(process) << 1, self.now);
         let fails = draw::unit(self.day.seed, For::News, key) < self.day.discovery.failing;
-        if self.discovery_down || fails {
+        self.news_count().calls += 1;
+        if self.discovery_down || fails || self.cut[self.processes[process as usize].zone as usize] {
             return self.tell(process, ListKind::Failed, &[]);
         }
         self.processes[process as usize].watching |= !once;
@@ -143,6 +144,11 @@
         for e in &entries {
             self.remember(process, e, offset);
         }
+        // A list as last held comes from the process before, and a failed call brings nothing.
+        if matches!(kind, ListKind::Changes | ListKind::Complete) {
+            let count = self.news_count();
+            (count.messages, count.entries) = (count.messages + 1, count.entries + entries.len() as u64);
+        }
         self.handle(process, Event::Servers { kind, entries });
     }
 
--- a/fleet/src/world/processes.rs
+++ b/fleet/src/world/processes.rs
@@ -150,6 +150,7 @@
         let cost = if matches!(message, Message::Timer(_)) { cost * TIMER_COST } else { cost };
         let p = &mut self.processes[process as usize];
         p.busy = p.busy.max(self.now) + cost as Micros;
+        let tier = p.tier;
         let event = match message {
             Message::Request(request) => {
                 self.note(process, Note::Asked { request });
@@ -158,6 +159,10 @@
                 let time_left = r.deadline.saturating_sub(self.now);
                 let (class, arrival, retry) =
                     (r.class, r.arrival, matches!(r.caller, Caller::Client { number, .. } if number > 0));
+                let whole = self.day.classes[class].deadline.0 as f64;
+                let count = self.count(arrival, tier);
+                count.requests += 1;
+                count.time_left += time_left as f64 / whole;
                 Event::Request {
                     id: u64::from(request),
                     class,
@@ -366,6 +371,7 @@
         r.attempt = Some(attempt);
         r.may_have_run = r.may_have_run.or(Some((attempt, self.now, cell)));
         self.tally.attempts += 1;
+        self.count(arrival, tier).attempts += 1;
         let a = &mut self.arrivals[arrival as usize];
         a.attempts += 1;
         if tier == self.processes[process as usize].tier && self.servers[server as usize].zone != zone {
@@ -397,7 +403,10 @@
             connected: false,
             epoch: self.servers[to as usize].epoch,
             job: None,
+            key: 0,
         });
-        (self.attempts.len() - 1) as AttemptAt
+        let attempt = (self.attempts.len() - 1) as AttemptAt;
+        self.attempts[attempt as usize].key = self.new_key(attempt);
+        attempt
     }
 }
--- a/zincstand/src/model/mod.rs
+++ b/zincstand/src/model/mod.rs
@@ -4,7 +4,9 @@
 mod explain;
 mod plots;
 mod report;
-mod tables;
+#[path = "../scale/model.rs"]
+mod scale;
+pub mod tables;
 
 use std::io::{BufRead, Read, Write};
 use std::ops::RangeInclusive;
@@ -51,6 +53,10 @@
     /// Write one HTML page with plots of a day and of experiments
     #[command(after_help = "Example: zincstand model report --kind upgrade+hand --seed 34 --out day.html")]
     Report(report::Report),
+    /// Tell what one first call becomes at the bottom of 2 to 30 tiers
+    Depth(scale::DepthArgs),
+    /// Tell what the loss of a zone, a rack or a region costs a fleet of 2,000
+    Failures(scale::FailureArgs),
 }
 
 /// A day drawn from a kind and a seed.
@@ -162,11 +168,13 @@
         Command::Compare(args) => compare::run(&args),
         Command::Explain(args) => explain::run(&args),
         Command::Report(args) => report::run(&args),
+        Command::Depth(args) => scale::depth(&args),
+        Command::Failures(args) => scale::failures(&args),
     }
 }
 
 /// Prints; unlike `println!`, a closed reader is an error that can be told from others.
-fn print(text: &str) -> Result<()> {
+pub(crate) fn print(text: &str) -> Result<()> {
     let mut out = std::io::stdout().lock();
     for line in text.lines() {
         writeln!(out, "{}", line.trim_end())?;
