--- a/fleet/src/depth.rs
+++ b/fleet/src/depth.rs
@@ -15,6 +15,12 @@
 pub const RATE: f64 = 225.0;
 /// Mean work of a call at a server of one tier; with two cores and `RATE` they are 45% busy.
 const WORK_MS: f64 = 4.0;
+/// The same before the longest are cut off, its deviation in means, and the longest.
+const DRAWN_MS: f64 = 4.4;
+const TAIL: f64 = 2.0;
+const MOST_MS: f64 = 30.0;
+/// Deviation of work that has hardly a tail.
+const EVEN: f64 = 0.5;
 /// Time for a tier: an answer within the first is worth all, after the second nobody waits.
 const AIM_MS: f64 = 50.0;
 const DEADLINE_MS: f64 = 100.0;
@@ -31,6 +37,8 @@
     Healthy,
     /// The same, with one deadline for every depth.
     FixedDeadline,
+    /// The same as healthy, and calls differ little in their work.
+    EvenWork,
     /// One server of twenty fails one request in five: one in a hundred fails.
     OnePercent,
     /// One server of twenty fails every request.
@@ -43,9 +51,10 @@
 
 impl Trouble {
     /// All of them.
-    pub const ALL: [Trouble; 6] = [
+    pub const ALL: [Trouble; 7] = [
         Trouble::Healthy,
         Trouble::FixedDeadline,
+        Trouble::EvenWork,
         Trouble::OnePercent,
         Trouble::FivePercent,
         Trouble::TwentyPercent,
@@ -57,6 +66,7 @@
         match self {
             Trouble::Healthy => "healthy",
             Trouble::FixedDeadline => "healthy, deadline fixed",
+            Trouble::EvenWork => "healthy, even work",
             Trouble::OnePercent => "1% fail in the last",
             Trouble::FivePercent => "5% of the last fail",
             Trouble::TwentyPercent => "20% fail in the last",
@@ -80,14 +90,14 @@
 
 impl Default for Sizes {
     fn default() -> Sizes {
-        Sizes { tiers: vec![2, 4, 8, 16, 30], troubles: Trouble::ALL.to_vec(), seeds: 4, seconds: 6.0 }
+        Sizes { tiers: vec![2, 4, 8, 16, 30], troubles: Trouble::ALL.to_vec(), seeds: 3, seconds: 4.5 }
     }
 }
 
 impl Sizes {
     /// A minute's worth: two seeds, shorter days.
     pub fn quick() -> Sizes {
-        Sizes { seeds: 2, seconds: 3.5, ..Sizes::default() }
+        Sizes { seeds: 2, seconds: 3.0, ..Sizes::default() }
     }
 }
 
@@ -318,7 +328,8 @@
     let whole =
         if trouble == Trouble::FixedDeadline { FIXED_DEADLINE_MS } else { DEADLINE_MS * tiers as f64 };
     let c = &mut day.classes[0];
-    (c.work, c.most_work) = (Span::ms(WORK_MS), Span::ms(4.0 * WORK_MS));
+    let (work, cv) = if trouble == Trouble::EvenWork { (WORK_MS, EVEN) } else { (DRAWN_MS, TAIL) };
+    (c.work, c.cv, c.most_work) = (Span::ms(work), cv, Span::ms(MOST_MS));
     (c.aim, c.deadline) = (Span::ms(whole * AIM_MS / DEADLINE_MS), Span::ms(whole));
     let mut one = day.tiers[0].clone();
     one.servers = vec![SERVERS];
@@ -336,7 +347,7 @@
         f
     };
     day.faults = match trouble {
-        Trouble::Healthy | Trouble::FixedDeadline => Vec::new(),
+        Trouble::Healthy | Trouble::FixedDeadline | Trouble::EvenWork => Vec::new(),
         Trouble::OnePercent => vec![fault(FaultKind::FastErrors, vec![3], 0.2, 1.0)],
         Trouble::FivePercent => vec![fault(FaultKind::FastErrors, vec![3], 1.0, 1.0)],
         Trouble::TwentyPercent => vec![fault(FaultKind::FastErrors, Vec::new(), 0.2, 1.0)],
--- a/zincstand/src/scale/model.rs
+++ b/zincstand/src/scale/model.rs
@@ -25,7 +25,7 @@
     /// The first seed
     #[arg(long, default_value_t = 1)]
     seed: u64,
-    /// Days for each depth and trouble; the interval comes from these [default: 4, quick: 2]
+    /// Days for each depth and trouble; the interval comes from these [default: 3, quick: 2]
     #[arg(long)]
     seeds: Option<u64>,
     /// Shorter days, fewer seeds
