--- a/fleet/src/depth.rs
+++ b/fleet/src/depth.rs
@@ -249,7 +249,7 @@
         })
         .collect::<Result<_, DayError>>()?;
     played.sort_by_key(|p| (p.0 as usize, p.1));
-    let rows: Vec<Row> = played.chunk_by(|a, b| (a.0, a.1) == (b.0, b.1)).map(|days| row(days)).collect();
+    let rows: Vec<Row> = played.chunk_by(|a, b| (a.0, a.1) == (b.0, b.1)).map(row).collect();
     let slopes = rows.chunk_by(|a, b| a.trouble == b.trouble).map(slope).collect();
     Ok(Depth { seed, sizes: sizes.clone(), rows, slopes })
 }
