--- a/fleet/src/depth.rs
+++ b/fleet/src/depth.rs
@@ -399,6 +399,7 @@
         },
         passes_deadline: true,
         balancers: Balancers {
+            shares: Vec::new(),
             zones: balancers,
             cores: 1.0,
             event_cost: Span(10),
