Let only a departed call that was out for long take a place from the window

At fault: a late departure moved the window by the step of an answer, part growth, instead of half a place. Change: half a place as ever, but only where the attempt was out for longer than the lowest P50 seen lately; the measure shared with answers goes again. The test of both sides passes unchanged.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -271,20 +271,6 @@
     resume: Micros,
 }
 
-impl Pool {
-    /// Moves the window for one answer.
-    fn turn(&mut self, settings: &Settings, zone: ZoneId, late: f64, used: bool) {
-        // Prevents some balancers from keeping all places of servers that all share: the further a window is
-        // under its balancer's part, the more it grows, and the less above.
-        let pull = (due(settings, zone, self.servers) / self.window).clamp(1.0 / MOST_PULL, MOST_PULL);
-        let step = if late > 0.0 || used { LATE_SHARE * pull } else { 0.0 } - late;
-        // Prevents balancers that outnumber their servers from swamping them with one call each: a part of a
-        // place is a place with pauses, and grows in proportion.
-        let gain = WINDOW_GAIN * self.window.min(1.0);
-        self.window = (self.window + gain * step).max(LEAST_WINDOW);
-    }
-}
-
 #[derive(Default)]
 struct Request {
     class: ClassId,
@@ -549,18 +535,17 @@
     }
 
     /// Prevents slow servers from passing for quick ones where the clients of the slowest calls leave: a call
-    /// that was out then counts as an answer that comes then, if that would be late. One that was not tells
-    /// nothing: clients leave for reasons of their own too.
+    /// that was out for longer than usual then counts as late. One that was not tells nothing: clients leave
+    /// for reasons of their own too, and would close the window beside idle servers.
     fn gone(&mut self, now: Micros, id: RequestId) {
         let Some(request) = self.requests.remove(&id) else { return };
         if request.upload {
             return self.count(request.to());
         }
-        let Some(attempt) = request.out else { return };
-        let out = now.saturating_sub(attempt.at) as f64;
-        let late = self.lateness(request.class, request.scale, out);
-        let Some(pool) = self.pools.get_mut(&attempt.zone).filter(|_| late > 0.0) else { return };
-        pool.turn(&self.settings, attempt.zone, late, true);
+        let usual = self.classes[request.class].base * request.scale;
+        let Some(attempt) = request.out.filter(|a| now.saturating_sub(a.at) as f64 > usual) else { return };
+        let Some(pool) = self.pools.get_mut(&attempt.zone) else { return };
+        pool.window = (pool.window - WINDOW_GAIN * pool.window.min(1.0)).max(LEAST_WINDOW);
     }
 
     /// A request's clock starts with its last byte, and so does the server's work. Prevents slow uploads from
@@ -1007,8 +992,14 @@
 
     /// Records what an attempt tells of latencies; tells how far it was later than the queueing target.
     fn learn(&mut self, class: ClassId, scale: f64, ended: &Ended) -> Option<f64> {
-        let (outcome, latency) = (ended.outcome, ended.latency as f64);
-        let late = self.lateness(class, scale, latency);
+        let outcome = ended.outcome;
+        let base = self.classes[class].base;
+        let crowded = if base > 0.0 { CROWDED * base * scale } else { f64::INFINITY };
+        // Only what comes on top of the lowest P50 is waiting: a call with tiers behind is long without any.
+        let aim = self.split(self.settings.classes[class].aim) as f64;
+        let unqueued = (base * scale).min(aim);
+        let target = unqueued + QUEUE_TARGET * (aim - unqueued);
+        let latency = ended.latency as f64;
         if matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
             let timed_out = outcome == Outcome::TimedOut;
             self.classes[class].latency.record(latency / scale, timed_out);
@@ -1016,28 +1007,15 @@
         }
         match outcome {
             // Prevents a spiral: an attempt cut short because it was held long says nothing of the queues.
-            Outcome::TimedOut | Outcome::Error if late == 0.0 => None,
+            Outcome::TimedOut | Outcome::Error if latency <= target.min(crowded) => None,
             Outcome::Full => Some(1.0),
-            Outcome::Ok | Outcome::TimedOut | Outcome::Error => Some(late),
+            Outcome::Ok | Outcome::TimedOut | Outcome::Error if latency > target => Some(1.0),
+            Outcome::Ok | Outcome::TimedOut | Outcome::Error if latency > crowded => Some(2.0 * LATE_SHARE),
+            Outcome::Ok => Some(0.0),
             _ => None,
         }
     }
 
-    /// How far an answer that took so long was later than the queueing target; 0 if it was not.
-    fn lateness(&self, class: ClassId, scale: f64, latency: f64) -> f64 {
-        let base = self.classes[class].base;
-        let crowded = if base > 0.0 { CROWDED * base * scale } else { f64::INFINITY };
-        // Only what comes on top of the lowest P50 is waiting: a call with tiers behind is long without any.
-        let aim = self.split(self.settings.classes[class].aim) as f64;
-        let unqueued = (base * scale).min(aim);
-        let target = unqueued + QUEUE_TARGET * (aim - unqueued);
-        match latency {
-            l if l > target => 1.0,
-            l if l > crowded => 2.0 * LATE_SHARE,
-            _ => 0.0,
-        }
-    }
-
     /// Keeps the server's counts, breakers and memory, and its pool's window.
     fn judge(&mut self, now: Micros, class: Option<ClassId>, ended: &Ended, own: bool, late: Option<f64>) {
         let outcome = ended.outcome;
@@ -1052,7 +1030,15 @@
             pool.in_flight = pool.in_flight.saturating_sub(1);
         }
         if let Some(late) = late {
-            pool.turn(&self.settings, server.entry.zone, late, used);
+            // Prevents some balancers from keeping all places of servers that all share: the further a window
+            // is under its balancer's part, the more it grows, and the less above.
+            let due = due(&self.settings, server.entry.zone, pool.servers);
+            let pull = (due / pool.window).clamp(1.0 / MOST_PULL, MOST_PULL);
+            let step = if late > 0.0 || used { LATE_SHARE * pull } else { 0.0 } - late;
+            // Prevents balancers that outnumber their servers from swamping them with one call each: a part
+            // of a place is a place with pauses, and grows in proportion.
+            let gain = WINDOW_GAIN * pool.window.min(1.0);
+            pool.window = (pool.window + gain * step).max(LEAST_WINDOW);
             if pool.window < 1.0 {
                 let pause = ended.latency as f64 * (1.0 / pool.window - 1.0);
                 pool.resume = now + (pause * (0.5 + self.rng.f64())) as Micros;
