Send where P90 is left, if that is less than five P50

Cause: where work is even, healthy tiers refused nearly all. A caller hands its P99 down as the deadline; with even work that is under two P50 of the tier behind, which refused unsent what had under five P50 left (hopeless), and breakers opened above. With heavy-tailed work P99 is many P50 and nothing shows.

--- a/fleet/tests/scale.rs
+++ b/fleet/tests/scale.rs
@@ -24,6 +24,18 @@
     day
 }
 
+/// Where work is even, a caller's P99 is little more than what its call needs: tiers that wanted several P50 left
+/// refused all that came, and served nothing from the fourth on.
+#[test]
+fn tiers_of_even_work_serve_what_callers_bound_by_their_percentiles() {
+    for tiers in [4, 8] {
+        let ends =
+            play(&depth::day(tiers, Trouble::EvenWork, 1, 3.0), Kind::Module, false).unwrap().result.ends;
+        let all = ends.served + ends.late + ends.refused + ends.failed;
+        assert!(ends.served as f64 > 0.9 * all as f64, "{tiers} tiers: {} of {all} served", ends.served);
+    }
+}
+
 #[test]
 fn days_end_at_thirty_two_tiers() {
     assert!(depth::day(30, Trouble::Healthy, 1, 1.0).check().is_ok());
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -31,6 +31,7 @@
 /// An attempt is sent while this share of its class's aim is left, whatever the learned P50.
 const ALWAYS_SENT: f64 = 0.5;
 /// With less time left than this many P50 nothing is sent: half of what takes long would be work for nobody.
+/// Where P90 is less, that is enough: where work is even, callers bound by their P99 leave no more.
 const LEAST_TIME: f64 = 5.0;
 /// Places of attempts given up fade by half in this many P50: a slow spell's P99 would fill the window.
 const LINGER: f64 = 2.0;
@@ -121,13 +122,15 @@
     total: f64,
     widen: f64,
     p50: f64,
+    p90: f64,
     p99: f64,
     faded: Micros,
 }
 
 impl Default for Percentiles {
     fn default() -> Self {
-        Percentiles { counts: vec![0.0; BUCKETS], total: 0.0, widen: 1.0, p50: 0.0, p99: 0.0, faded: 0 }
+        let (p50, p90, p99) = (0.0, 0.0, 0.0);
+        Percentiles { counts: vec![0.0; BUCKETS], total: 0.0, widen: 1.0, p50, p90, p99, faded: 0 }
     }
 }
 
@@ -170,7 +173,7 @@
     }
 
     fn measure(&mut self) {
-        self.p50 = self.quantile(0.5);
+        (self.p50, self.p90) = (self.quantile(0.5), self.quantile(0.9));
         let tail = self.total >= TAIL_SAMPLES;
         self.p99 = if tail { self.quantile(0.99) * self.widen } else { f64::INFINITY };
     }
@@ -676,10 +679,10 @@
         let now = request.clock(now);
         let left = request.useful.saturating_sub(now) as f64;
         let aim = self.split(self.settings.classes[request.class].aim) as f64;
-        let p50 = self.percentiles(request.class).map_or(0.0, |p| p.p50);
+        let usual = self.percentiles(request.class).map_or(0.0, |p| p.p90.min(p.p50 * LEAST_TIME));
         // Prevents a final answer that comes too late, where looks are further apart than the grace for it.
         let last_look = now + self.look >= request.deadline;
-        let least = (p50 * LEAST_TIME).min(aim * ALWAYS_SENT) * request.scale;
+        let least = usual.min(aim * ALWAYS_SENT) * request.scale;
         last_look || self.all_drain || left <= 0.0 || left < least
     }
 
