Name the listener, connection limits, order store and management by the field's terms

Cause: Door, Room, Book and Desk hid a listener, connection limits, a store of orders and a management listener. Change: names only, in sloeline; room.rs is gauge.rs, after the type in it.

--- a/sloeline/src/engine.rs
+++ b/sloeline/src/engine.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, oneshot};
 
-use crate::orders::{Book, Orders};
+use crate::orders::{OrderStore, Orders};
 use crate::registry::Registry;
 use crate::stream::End;
 use crate::wire::{Answer, Asked, Clock, Failure, Listed, Target, Wire};
@@ -85,7 +85,7 @@
     wire: W,
     clock: Clock,
     /// What operators have set; others than this process may have.
-    book: Rc<Book>,
+    store: Rc<OrderStore>,
     /// The version of it that the module knows.
     obeyed: Cell<u64>,
     limits: fs::Limits,
@@ -167,18 +167,18 @@
         settings: fs::Settings,
         zones: &Names,
         seed: u64,
-        book: Rc<Book>,
+        store: Rc<OrderStore>,
         wire: W,
     ) -> Result<Rc<Self>, String> {
         let mut registry = Registry::new(zones);
-        registry.obey(&book.orders());
+        registry.obey(&store.orders());
         let limits = settings.limits.clone();
         let balancer = fs::Balancer::new(settings, seed).map_err(|e| e.to_string())?;
         Ok(Rc::new(Engine {
             wire,
             clock: Clock::new(),
-            obeyed: Cell::new(book.version()),
-            book,
+            obeyed: Cell::new(store.version()),
+            store,
             limits,
             balancer: RefCell::new(balancer),
             tables: RefCell::new(Tables {
@@ -290,7 +290,7 @@
             return Ok(false);
         }
         let now = self.clock.now();
-        self.book.change(|orders| order(orders, now))?;
+        self.store.change(|orders| order(orders, now))?;
         self.obey();
         Ok(true)
     }
@@ -298,11 +298,11 @@
     /// Looks whether operators have set anything new, through whichever process. Done before each event, it
     /// binds this one from the moment in which the other said yes.
     pub fn obey(self: &Rc<Self>) {
-        self.book.look();
-        if self.obeyed.replace(self.book.version()) == self.book.version() {
+        self.store.look();
+        if self.obeyed.replace(self.store.version()) == self.store.version() {
             return;
         }
-        let (entries, out) = self.tables.borrow_mut().registry.obey(&self.book.orders());
+        let (entries, out) = self.tables.borrow_mut().registry.obey(&self.store.orders());
         for server in out {
             self.wire.close_idle(server);
         }
--- a/sloeline/src/engine/tests.rs
+++ b/sloeline/src/engine/tests.rs
@@ -73,8 +73,8 @@
 }
 
 fn engine(fake: &Fake) -> Rc<Engine<Fake>> {
-    let (book, names) = (Rc::default(), Names::default());
-    let engine = Engine::new(settings(), &names, 1, book, fake.clone()).expect("good settings");
+    let (store, names) = (Rc::default(), Names::default());
+    let engine = Engine::new(settings(), &names, 1, store, fake.clone()).expect("good settings");
     engine.list(ListKind::Complete, vec![listed()]);
     engine
 }
--- a/sloeline/src/management.rs
+++ b/sloeline/src/management.rs
@@ -49,16 +49,16 @@
 type Wrong = (StatusCode, &'static str, Option<&'static str>);
 
 /// Where operators' calls are answered.
-pub struct Desk<W: Wire> {
+pub struct Management<W: Wire> {
     engine: Rc<Engine<W>>,
     life: Rc<Life>,
     callers: RefCell<VecDeque<AbortHandle>>,
 }
 
-impl<W: Wire> Desk<W> {
+impl<W: Wire> Management<W> {
     /// No caller yet.
     pub fn new(engine: Rc<Engine<W>>, life: Rc<Life>) -> Rc<Self> {
-        Rc::new(Desk { engine, life, callers: RefCell::default() })
+        Rc::new(Management { engine, life, callers: RefCell::default() })
     }
 
     /// Answers calls; never returns.
--- a/sloeline/src/orders.rs
+++ b/sloeline/src/orders.rs
@@ -48,19 +48,19 @@
 
 /// The orders and the file that they are kept in, if there is a folder for it.
 #[derive(Default)]
-pub struct Book {
+pub struct OrderStore {
     folder: Option<PathBuf>,
     orders: RefCell<Orders>,
     stamp: Cell<Option<Stamp>>,
     version: Cell<u64>,
 }
 
-impl Book {
+impl OrderStore {
     /// The orders that the folder holds. One that cannot be read holds none: serving goes first.
-    pub fn open(folder: Option<&Path>) -> Book {
-        let book = Book { folder: folder.map(Path::to_owned), ..Book::default() };
-        book.look();
-        book
+    pub fn open(folder: Option<&Path>) -> OrderStore {
+        let store = OrderStore { folder: folder.map(Path::to_owned), ..OrderStore::default() };
+        store.look();
+        store
     }
 
     /// Another number each time the orders have changed.
--- a/sloeline/src/orders/tests.rs
+++ b/sloeline/src/orders/tests.rs
@@ -11,15 +11,15 @@
 #[test]
 fn what_one_process_is_told_the_other_sees_and_a_later_one_finds() {
     with("shared", |folder| {
-        let (one, other) = (Book::open(Some(folder)), Book::open(Some(folder)));
+        let (one, other) = (OrderStore::open(Some(folder)), OrderStore::open(Some(folder)));
         one.change(|o| o.exclude("s-1")).expect("it is written");
         other.change(|o| o.exclude("s-2")).expect("it is written");
         let before = one.version();
         one.look();
         one.look();
         assert_eq!(one.version(), before + 1);
-        for book in [&one, &other, &Book::open(Some(folder))] {
-            assert_eq!(book.orders().out.iter().collect::<Vec<_>>(), ["s-1", "s-2"]);
+        for store in [&one, &other, &OrderStore::open(Some(folder))] {
+            assert_eq!(store.orders().out.iter().collect::<Vec<_>>(), ["s-1", "s-2"]);
         }
     });
 }
@@ -39,14 +39,14 @@
 #[test]
 fn a_file_that_is_cut_short_changes_nothing() {
     with("short", |folder| {
-        let book = Book::open(Some(folder));
-        book.change(|o| o.exclude("s-1")).expect("it is written");
+        let store = OrderStore::open(Some(folder));
+        store.change(|o| o.exclude("s-1")).expect("it is written");
         fs::write(folder.join(FILE), b"{\"out\":[\"s-").expect("a file");
-        book.look();
-        assert!(book.orders().out.contains("s-1"));
-        assert_eq!(*Book::open(Some(folder)).orders(), Orders::default());
+        store.look();
+        assert!(store.orders().out.contains("s-1"));
+        assert_eq!(*OrderStore::open(Some(folder)).orders(), Orders::default());
         // The next change makes it whole again.
-        book.change(|o| o.exclude("s-2")).expect("it is written");
-        assert_eq!(Book::open(Some(folder)).orders().out.len(), 2);
+        store.change(|o| o.exclude("s-2")).expect("it is written");
+        assert_eq!(OrderStore::open(Some(folder)).orders().out.len(), 2);
     });
 }
--- a/sloeline/src/server.rs
+++ b/sloeline/src/server.rs
@@ -26,9 +26,9 @@
 
 use crate::engine::Engine;
 use crate::gate::{Crowd, Fault, Gate, IDLE_TIME, Inbound, Progress, Stage, waits};
-use crate::orders::Book;
+use crate::gauge::{Gauge, Taken};
+use crate::orders::OrderStore;
 use crate::pool::BUFFER;
-use crate::room::{Gauge, Taken};
 use crate::service::BACKLOG;
 use crate::stream::{Answering, Begun, End, MOST_HELD, Upload, begin};
 use crate::upstream::{Answered, Call, Payload, Reply};
@@ -50,7 +50,7 @@
 const QUICK_IDLE: Duration = Duration::from_secs(1);
 /// Pause after a connection could not be taken for want of descriptors.
 const NO_SOCKET_PAUSE: Duration = Duration::from_millis(20);
-/// How long a full house may last before connections beyond it are taken, to be told so.
+/// How long a lack of places may last before connections beyond it are taken, to be told so.
 const FULL_PATIENCE: Duration = Duration::from_millis(250);
 /// How many of them at once; they are within the descriptors that are reserved.
 const BEYOND: usize = 6;
@@ -100,7 +100,7 @@
 /// The phase of the balancer's life, and the orders that change it.
 pub struct Life {
     phases: watch::Sender<Phase>,
-    book: Rc<Book>,
+    store: Rc<OrderStore>,
     /// Another process of this balancer lives.
     accompanied: Cell<bool>,
     /// When the order to stop came.
@@ -110,17 +110,17 @@
 
 impl Life {
     /// Just begun.
-    pub fn new(book: Rc<Book>) -> Rc<Life> {
+    pub fn new(store: Rc<OrderStore>) -> Rc<Life> {
         let (phases, accompanied) = (watch::Sender::new(Phase::Running), Cell::default());
-        let life = Life { phases, book, accompanied, ordered: Cell::default(), begun: Instant::now() };
+        let life = Life { phases, store, accompanied, ordered: Cell::default(), begun: Instant::now() };
         life.follow();
         Rc::new(life)
     }
 
     /// The present phase, once what operators have set has been looked at.
     pub fn follow(&self) -> Phase {
-        self.book.look();
-        let evacuated = self.book.orders().evacuated;
+        self.store.look();
+        let evacuated = self.store.orders().evacuated;
         self.phases.send_if_modified(|phase| {
             let before = *phase;
             *phase = match before {
@@ -138,7 +138,7 @@
 
     /// Sends clients away, or takes them again.
     pub fn evacuate(&self, evacuated: bool) -> io::Result<()> {
-        self.book.change(|orders| orders.evacuated = evacuated)?;
+        self.store.change(|orders| orders.evacuated = evacuated)?;
         self.follow();
         Ok(())
     }
@@ -171,17 +171,17 @@
 }
 
 /// What callers may take up.
-pub struct Room {
+pub struct ConnectionLimits {
     /// Connections.
-    pub places: usize,
+    pub connections: usize,
     /// Bytes of the bodies of open requests and of their answers.
     pub bodies: usize,
 }
 
 /// The listener, and whether another process shares it.
-pub struct Door {
+pub struct Listener {
     /// Where connections come from.
-    pub listener: TcpListener,
+    pub socket: TcpListener,
     /// The platform holds it: what comes after the order to stop is a successor's.
     pub shared: bool,
 }
@@ -219,7 +219,7 @@
         engine: Rc<Engine<W>>,
         classes: Vec<(String, fs::Class)>,
         tenants: Vec<String>,
-        room: Room,
+        limits: ConnectionLimits,
         life: Rc<Life>,
     ) -> Rc<Self> {
         let longest = classes.iter().map(|(_, class)| class.deadline).max().unwrap_or(0);
@@ -230,7 +230,7 @@
             .map(|(i, (name, class))| (name.into_bytes(), (i, class)))
             .collect();
         let tenants = tenants.into_iter().enumerate().map(|(i, name)| (name.into_bytes(), i)).collect();
-        let (places, bodies) = (Gauge::new(room.places), Gauge::new(room.bodies));
+        let (places, bodies) = (Gauge::new(limits.connections), Gauge::new(limits.bodies));
         let (crowd, ids) = (Rc::default(), RefCell::default());
         let (beyond, full) = (Gauge::new(BEYOND), Cell::default());
         Rc::new(Server {
@@ -249,9 +249,9 @@
     }
 
     /// Other room than before. What is taken beyond it is given back as connections become idle.
-    pub fn resize(&self, room: &Room) {
-        self.places.resize(room.places);
-        self.bodies.resize(room.bodies);
+    pub fn resize(&self, limits: &ConnectionLimits) {
+        self.places.resize(limits.connections);
+        self.bodies.resize(limits.bodies);
         // A place is given back once its task has been dropped.
         for _ in 0..self.places.excess() {
             let _ = self.crowd.close_oldest();
@@ -260,13 +260,13 @@
 
     /// Takes connections until the order to stop, and a little longer where they are nobody else's; returns when
     /// all are closed.
-    pub async fn serve(self: Rc<Self>, door: Door) {
+    pub async fn serve(self: Rc<Self>, listener: Listener) {
         let mut phase = self.life.phases.subscribe();
         let taken_for = self.leave_within.mul_f64(STILL_TAKEN).max(LEAST_TAKEN).min(self.leave_within);
         let mut end = pin!(async {
             let _ = phase.wait_for(|p| p.ends()).await;
             eprintln!("sloeline: told to stop");
-            if !door.shared {
+            if !listener.shared {
                 sleep_until(self.life.ordered.get().unwrap_or_else(Instant::now) + taken_for).await;
             }
         });
@@ -274,7 +274,7 @@
             let accepted = tokio::select! {
                 biased;
                 () = &mut end => break,
-                accepted = door.listener.accept() => accepted,
+                accepted = listener.socket.accept() => accepted,
             };
             let Ok((stream, _)) = accepted else {
                 // Guards against a spin while no descriptor is free: the connection stays in the queue.
@@ -285,23 +285,23 @@
                 place = self.place() => self.welcome(stream, place),
                 // Guards what was accepted against the order to stop: it is this process's to serve.
                 () = &mut end => {
-                    self.welcome(stream, self.last_place(door.shared));
+                    self.welcome(stream, self.last_place(listener.shared));
                     break;
                 }
             }
         }
         // Closed here; another process that holds it goes on accepting. Where none does, what the system has let
         // in is this process's to answer: closed with its listener, it would be reset, and its request lost.
-        if door.shared {
-            drop(door.listener);
-        } else if let Ok(listener) = door.listener.into_std() {
+        if listener.shared {
+            drop(listener.socket);
+        } else if let Ok(socket) = listener.socket.into_std() {
             // From here on connections that have carried nothing are soon closed, and leave room.
             self.life.phases.send_replace(Phase::Closing);
             let ordered = self.life.ordered.get().unwrap_or_else(Instant::now);
             let _ =
-                timeout_at(ordered + self.leave_within - NOTHING_YET / 2, self.empty_queue(&listener)).await;
+                timeout_at(ordered + self.leave_within - NOTHING_YET / 2, self.empty_queue(&socket)).await;
         }
-        self.life.phases.send_replace(if door.shared { Phase::Leaving } else { Phase::Closing });
+        self.life.phases.send_replace(if listener.shared { Phase::Leaving } else { Phase::Closing });
         self.places.empty().await;
         self.beyond.empty().await;
     }
--- a/sloeline/src/service.rs
+++ b/sloeline/src/service.rs
@@ -16,9 +16,9 @@
 use crate::discovery::Discovery;
 use crate::engine::{Engine, Report};
 use crate::handover::{self, Presence};
-use crate::management::Desk;
-use crate::orders::{self, Book};
-use crate::server::{Door, Life, Room, Server};
+use crate::management::Management;
+use crate::orders::{self, OrderStore};
+use crate::server::{ConnectionLimits, Life, Listener, Server};
 use crate::upstream::{Attempt, Call, Reply, Upstreams};
 use crate::wire::{Target, Wire};
 
@@ -116,11 +116,11 @@
 }
 
 /// What one of so many processes of this balancer may take up: connections to upstreams, and the callers' room.
-fn room(config: &Config, processes: usize) -> (usize, Room) {
+fn limits(config: &Config, processes: usize) -> (usize, ConnectionLimits) {
     let free = (config.sockets / processes).saturating_sub(RESERVED).max(2);
     let places = ((free as f64 * CALLERS) as usize).max(1);
     let bodies = (config.memory as f64 * BODIES) as usize / processes;
-    (free - places, Room { places, bodies })
+    (free - places, ConnectionLimits { connections: places, bodies })
 }
 
 /// Listens on an address of this balancer's own.
@@ -146,13 +146,13 @@
 
     let shared = inherited.is_some();
     let folder = if shared || config.management.is_some() { orders::folder(variable)? } else { None };
-    let book = Rc::new(Book::open(folder.as_deref()));
+    let store = Rc::new(OrderStore::open(folder.as_deref()));
     let presence = folder.as_deref().filter(|_| shared).map(Presence::enter).transpose();
     let presence = presence.map_err(|e| format!("TMPDIR: {e}"))?;
     let processes = move || 1 + presence.as_ref().map_or(0, Presence::others);
     let mut known_processes = processes();
 
-    let (connections, callers) = room(&config, known_processes);
+    let (connections, callers) = limits(&config, known_processes);
     let upstreams = Rc::new(Upstreams::new(&settings.limits, connections));
     spawn_local(upstreams.tend());
     let generation = config.known.as_ref().map(|known| known.generation);
@@ -171,7 +171,7 @@
         settings,
         &zones,
         config.seed,
-        book.clone(),
+        store.clone(),
         Net { upstreams: upstreams.clone(), discovery: discovery.clone() },
     )?;
     match config.known.take() {
@@ -202,13 +202,13 @@
         None => listen(config.listen)?,
     };
     let address = listener.local_addr().map_err(|e| e.to_string())?;
-    let life = Life::new(book);
+    let life = Life::new(store);
     let management = config.management.map(listen).transpose().map_err(|e| format!("EDGE_MANAGEMENT {e}"))?;
     eprintln!("sloeline {} listens on {address}", config.name);
     if let Some(management) = management {
         let address = management.local_addr().map_err(|e| e.to_string())?;
         eprintln!("sloeline {} takes operators' calls on {address}", config.name);
-        spawn_local(Desk::new(engine.clone(), life.clone()).serve(management));
+        spawn_local(Management::new(engine.clone(), life.clone()).serve(management));
     }
 
     spawn_local({
@@ -246,7 +246,7 @@
                 if now != known_processes {
                     known_processes = now;
                     eprintln!("sloeline: {now} processes of this balancer live and share its room");
-                    let (connections, callers) = room(&config, now);
+                    let (connections, callers) = limits(&config, now);
                     upstreams.resize(connections);
                     server.resize(&callers);
                     life.accompany(now > 1);
@@ -254,6 +254,6 @@
             }
         });
     }
-    server.serve(Door { listener, shared }).await;
+    server.serve(Listener { socket: listener, shared }).await;
     Ok(())
 }
--- a/sloeline/src/stream.rs
+++ b/sloeline/src/stream.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, Sleep, sleep, sleep_until};
 
 use crate::gate::Progress;
-use crate::room::Taken;
+use crate::gauge::Taken;
 use crate::upstream::Lease;
 
 /// Most of a body that is held whole.
