Let the client of the inheritance test leave when its answer is late

Change: it leaves after 200 ms, where answers take 50. The test holds the same: what was learned differs from what a new process would begin with, and is taken over.

--- a/sloeline/src/engine/tests.rs
+++ b/sloeline/src/engine/tests.rs
@@ -104,8 +104,10 @@
             fake.take().end(Outcome::Ok, None, Some(1));
             asking.answer().await;
         }
-        // Its window shrinks with a client that leaves.
-        drop(engine.ask(asked(4_000_000)));
+        // Its window shrinks with a client that leaves when its answer is late.
+        let late = engine.ask(asked(4_000_000));
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        drop(late);
         fake.take().end(Outcome::Reset, None, None);
         let text = serde_json::to_vec(&engine.legacy()).expect("text");
         let legacy = || serde_json::from_slice::<Legacy>(&text).expect("what was written");
