--- a/zincstand/src/model/mod.rs
+++ b/zincstand/src/model/mod.rs
@@ -1,14 +1,15 @@
 //! `zincstand model`: days, experiments, comparisons, reports.
 
+mod at_size;
 mod compare;
 mod explain;
 mod plots;
 mod ramp;
 mod report;
-#[path = "../scale/model.rs"]
-mod scale;
 pub mod tables;
 
+pub use tables::table;
+
 use std::io::{BufRead, Read, Write};
 use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
@@ -58,9 +59,9 @@
     #[command(after_help = "Example: zincstand model report --kind upgrade+hand --seed 34 --out day.html")]
     Report(report::Report),
     /// Tell what one first call becomes at the bottom of 2 to 30 tiers
-    Depth(scale::DepthArgs),
+    Depth(at_size::DepthArgs),
     /// Tell what the loss of a zone, a rack or a region costs a fleet of 2,000
-    Failures(scale::FailureArgs),
+    Failures(at_size::FailureArgs),
 }
 
 /// A day drawn from a kind and a seed.
@@ -173,8 +174,8 @@
         Command::Ramp(args) => ramp::run(&args),
         Command::Explain(args) => explain::run(&args),
         Command::Report(args) => report::run(&args),
-        Command::Depth(args) => scale::depth(&args),
-        Command::Failures(args) => scale::failures(&args),
+        Command::Depth(args) => at_size::depth(&args),
+        Command::Failures(args) => at_size::failures(&args),
     }
 }
 
