Keep the crowd's slopes in their time and its rounds out of step

A trial showed every round of slow balancers ending at the same point of a standstill (last balancer 123 to 126 ms at all sizes): the rounds now begin at different points of it.

--- a/zincstand/src/scale/crowd.rs
+++ b/zincstand/src/scale/crowd.rs
@@ -52,8 +52,9 @@
 
 /// Discovery and its watchers.
 pub struct Scene {
-    pub discovery: Discovery,
+    /// First, so that it ends before the discovery that it watches.
     pub crowd: Crowd,
+    pub discovery: Discovery,
     balancers: u32,
     upstreams: usize,
     changed: usize,
@@ -78,7 +79,7 @@
             seed,
         };
         let crowd = Crowd::start(&options).context("the hollow balancers")?;
-        let scene = Scene { discovery, crowd, balancers, upstreams, changed: 0 };
+        let scene = Scene { crowd, discovery, balancers, upstreams, changed: 0 };
         scene.first(|r| r.kind == ListKind::Complete && r.entries == upstreams).await?;
         scene.all_waiting().await?;
         Ok(scene)
--- a/zincstand/src/scale/updates.rs
+++ b/zincstand/src/scale/updates.rs
@@ -54,7 +54,7 @@
 
 /// The same for processes of their own: one acts on a version once its next watch asks from there, since it hands
 /// its module what it was told before it asks again.
-async fn real(bench: &Bench, rounds: usize) -> Result<Gathered> {
+async fn real(bench: &Bench, rounds: u32) -> Result<Gathered> {
     let (sizes, (_, upstreams)) = (processes(bench), sizes(bench));
     let discovery = Discovery::start()?;
     discovery.set((0..upstreams).map(entry).collect())?;
@@ -77,9 +77,7 @@
         }
         gathered.add(processes as u32, &lags);
     }
-    for balancer in running {
-        balancer.stop().await?;
-    }
+    // Each is killed by its id where this ends.
     Ok(gathered)
 }
 
@@ -118,7 +116,7 @@
     }
 
     fn slopes(self, name: &str, remark: &str) -> [Slope; 2] {
-        let remark = format!("{remark}; the slowest of all took {:.1} ms", self.worst);
+        let remark = format!("{remark}; the slowest took {:.1} ms", self.worst);
         [
             Slope::new(format!("updates: {name}, median balancer"), "balancers", "ms", self.median)
                 .remark(&remark),
@@ -130,7 +128,7 @@
 
 pub async fn measure(bench: &Bench) -> Result<Vec<Slope>> {
     let (sizes, upstreams) = sizes(bench);
-    let rounds = if bench.quick { 3 } else { 9 };
+    let rounds: u32 = if bench.quick { 3 } else { 9 };
     let bursts = if bench.quick { 1 } else { 3 };
     let (mut one, mut burst, mut slow, mut others) =
         (Gathered::default(), Gathered::default(), Gathered::default(), Gathered::default());
@@ -145,7 +143,7 @@
             scene.all_waiting().await?;
         }
         let spent = scene.crowd.processor().saturating_sub(before).as_secs_f64();
-        processor.push(Point { x, y: spent * 1e6 / x / rounds as f64 });
+        processor.push(Point { x, y: spent * 1e6 / x / f64::from(rounds) });
         one.add(balancers, &lags);
 
         let (mut lags, before) = (Vec::new(), scene.all_waiting().await?.total);
@@ -160,9 +158,9 @@
 
         scene.crowd.stall(true);
         let (mut all, mut quick) = (Vec::new(), Vec::new());
-        for _ in 0..rounds {
-            // Past the last one's standstill, and not in step with it.
-            sleep(SLOW.every * 3 / 2).await;
+        for round in 0..rounds {
+            // The last one ends with a standstill; each round begins at another point of the next.
+            sleep(SLOW.every + SLOW.every * round / rounds).await;
             let told = scene.change(1)?;
             let (of_all, of_others) = scene.lags(told).await?;
             all.push(of_all);
--- a/zincstand/src/scale/watchers.rs
+++ b/zincstand/src/scale/watchers.rs
@@ -14,8 +14,6 @@
 use super::crowd::{Scene, entry};
 use super::{Bench, updates};
 
-/// How long discovery is away.
-const OUTAGE: Duration = Duration::from_secs(3);
 /// What is said of every figure of processor time.
 const STAND_IN: &str = "of the stand-in's one thread, not of a product";
 /// Balancers of the size to design for, and the machines set aside for control.
@@ -46,10 +44,11 @@
         }
     }
 
-    /// The same remark for all whose names begin so.
-    fn remark(&mut self, name: &str, remark: &str) {
-        for slope in self.0.iter_mut().filter(|s| s.name.starts_with(&format!("watchers: {name}, "))) {
-            slope.remark = remark.to_owned();
+    /// A remark for those whose names begin so, at the first of them.
+    fn remark(&mut self, name: &str, remark: impl Into<String>) {
+        let name = format!("watchers: {name}, ");
+        if let Some(slope) = self.0.iter_mut().find(|s| s.name.starts_with(&name)) {
+            slope.remark = remark.into();
         }
     }
 
@@ -97,7 +96,9 @@
 
 pub async fn measure(bench: &Bench) -> Result<Vec<Slope>> {
     let (sizes, upstreams) = sizes(bench);
-    let rest = Duration::from_secs(if bench.quick { 2 } else { 4 });
+    let rest = Duration::from_secs(if bench.quick { 1 } else { 4 });
+    // Longer than the longest that a watch waits for a word: 1.5 s with the settings used here.
+    let outage = Duration::from_millis(if bench.quick { 600 } else { 3_000 });
     let changes = if bench.quick { 3 } else { 10 };
     let mut slopes = Slopes::default();
     for &balancers in sizes {
@@ -158,18 +159,18 @@
         back(&mut scene, &mut slopes, "all watches broken", x, told.at, before).await?;
 
         scene.discovery.mode(Mode::Down)?;
-        sleep(OUTAGE).await;
+        sleep(outage).await;
         let before = scene.discovery.counted()?.total;
         let told = scene.discovery.mode(Mode::Up)?;
-        back(&mut scene, &mut slopes, "back from 3 s down", x, told.at, before).await?;
+        back(&mut scene, &mut slopes, "back from an outage", x, told.at, before).await?;
 
         let before = scene.all_waiting().await?.total;
         scene.discovery.mode(Mode::Silent)?;
-        sleep(OUTAGE).await;
+        sleep(outage).await;
         let silent = scene.discovery.counted()?.total;
-        slopes.add("3 s of silence", "connections", x, silent.since(&before).connections as f64);
+        slopes.add("in silence", "connections", x, silent.since(&before).connections as f64);
         let told = scene.discovery.mode(Mode::Up)?;
-        back(&mut scene, &mut slopes, "back from 3 s of silence", x, told.at, silent).await?;
+        back(&mut scene, &mut slopes, "back from silence", x, told.at, silent).await?;
         drop(hush);
     }
     if !bench.quick {
@@ -180,13 +181,13 @@
         let told = scene.discovery.break_all()?;
         back(&mut scene, &mut slopes, "all watches broken, asking", f64::from(most), told.at, before).await?;
     }
-    for name in ["at rest", "at a change", "whole list to all"] {
-        slopes.remark(name, &format!("{upstreams} upstreams; processor time {STAND_IN}"));
-    }
-    slopes.remark(
-        "all watches broken, asking",
-        "balancers whose module asks for its watch, within 10 s (`AskWithinMs`)",
-    );
+    slopes.remark("at rest", format!("{upstreams} upstreams; processor time is that {STAND_IN}"));
+    slopes.remark("all watches broken", "a change is made at the same moment");
+    slopes.remark("back from an outage", format!("after {outage:?} in which connections are refused"));
+    slopes.remark("in silence", format!("{outage:?} in which nothing is answered"));
+    slopes.remark("back from silence", "calls that were held are answered at its end");
+    slopes
+        .remark("all watches broken, asking", "the module asks for its watch, within `AskWithinMs` of 10 s");
     let mut slopes = slopes.done();
     slopes.extend(machines(&slopes));
     Ok(slopes)
