--- a/rig/src/discovery.rs
+++ b/rig/src/discovery.rs
@@ -555,6 +555,8 @@
         let mut broken = hub.broken.subscribe();
         spawn_local(async move {
             tokio::select! {
+                // First: what has been broken is told nothing that came after the break.
+                biased;
                 _ = broken.changed() => {}
                 _ = serve(&hub, stream, number) => {}
             }
