--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -4,11 +4,14 @@
 //! result to the byte on every machine. `docs/model.md` says what is modelled and how far it holds.
 
 pub mod day;
+pub mod depth;
 mod draw;
 pub mod experiment;
+pub mod failures;
 pub mod judge;
 pub mod kinds;
 pub mod policy;
+pub mod ramp;
 mod server;
 mod span;
 mod world;
--- a/fleet/src/world/mod.rs
+++ b/fleet/src/world/mod.rs
@@ -14,8 +14,9 @@
 
 use crate::day::{Day, DayError};
 use crate::draw::{self, For};
-use crate::judge::{self, Arrival, Breach, Detail, Result, Rule, Sample, Tally};
+use crate::judge::{self, Arrival, Breach, Detail, NewsCount, Result, Rule, Sample, Tally, TierCount};
 use crate::policy::{Kind, Policy};
+use crate::ramp::Watch;
 use crate::server::{JobId, Server};
 
 const SECOND: Micros = 1_000_000;
@@ -165,6 +166,8 @@
     /// The server's process that its connection leads to; none where nobody answers.
     epoch: u32,
     job: Option<JobId>,
+    /// Decides its draws, the same whatever the policy did before.
+    key: u64,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -276,6 +279,8 @@
     /// Discovery's log, by tier.
     log: Vec<Vec<news::Change>>,
     discovery_down: bool,
+    /// Zones that are cut off from the others.
+    cut: Vec<bool>,
     /// Servers that operators have taken out.
     by_hand: Vec<ServerAt>,
     /// Heavy requests: class, share, factor, since.
@@ -284,6 +289,8 @@
     tally: Tally,
     actions: Vec<Action>,
     samples: Option<Vec<Vec<Sample>>>,
+    /// What servers get after their start, where that is asked for.
+    watch: Option<Watch>,
 }
 
 /// What came of a day.
@@ -324,6 +331,17 @@
     Ok(world.end())
 }
 
+/// Plays a day and writes down what servers get after their start.
+pub(crate) fn play_watched(day: &Day, kind: Kind) -> std::result::Result<(Played, Watch), DayError> {
+    day.check()?;
+    let start = |settings, seed| kind.start(settings, seed);
+    let mut world = World::new(day, &start, false);
+    world.watch = Some(Watch::default());
+    world.run();
+    let watch = world.watch.take().unwrap_or_default();
+    Ok((world.end(), watch))
+}
+
 impl<'d> World<'d> {
     fn new(day: &'d Day, start: Start<'d>, detail: bool) -> World<'d> {
         let mut world = World {
@@ -346,12 +364,14 @@
             jobs: Vec::new(),
             log: day.tiers.iter().map(|_| Vec::new()).collect(),
             discovery_down: false,
+            cut: vec![false; day.zones.len()],
             by_hand: Vec::new(),
             heavy: Vec::new(),
             fallen: 0,
             tally: Tally::default(),
             actions: Vec::new(),
             samples: detail.then(Vec::new),
+            watch: None,
         };
         let mut cell = 0;
         for (tier, t) in day.tiers.iter().enumerate() {
@@ -454,6 +474,33 @@
         (base.0 as f64 * (1.0 + late)) as Micros
     }
 
+    /// What goes from one zone to the other is lost.
+    fn severed(&self, process: ProcessAt, server: ServerAt) -> bool {
+        let (from, to) = (self.processes[process as usize].zone, self.servers[server as usize].zone);
+        self.cut[from as usize] != self.cut[to as usize]
+    }
+
+    /// Counts of a tier, for requests that arrived in the same second as this one.
+    fn count(&mut self, arrival: u32, tier: usize) -> &mut TierCount {
+        let second = (self.arrivals[arrival as usize].at / SECOND) as usize;
+        let tiers = self.day.tiers.len();
+        let all = &mut self.tally.tiers;
+        if all.len() <= second {
+            all.resize_with(second + 1, || vec![TierCount::default(); tiers]);
+        }
+        &mut all[second][tier]
+    }
+
+    /// Counts of discovery's side in this second.
+    fn news_count(&mut self) -> &mut NewsCount {
+        let second = (self.now / SECOND) as usize;
+        let all = &mut self.tally.news;
+        if all.len() <= second {
+            all.resize_with(second + 1, NewsCount::default);
+        }
+        &mut all[second]
+    }
+
     fn breach(&mut self, rule: Rule, process: ProcessAt, server: Option<ServerAt>, what: String) {
         self.tally.broken += 1;
         if self.tally.breaches.len() >= TOLD {
--- a/rig/src/hollow.rs
+++ b/rig/src/hollow.rs
@@ -355,7 +355,7 @@
         false
     }
 
-    fn broken_off((): &()) -> bool {
+    fn departed((): &()) -> bool {
         false
     }
 
--- a/sloeline/src/engine/tests.rs
+++ b/sloeline/src/engine/tests.rs
@@ -21,7 +21,7 @@
     fn spent(_: &()) -> bool {
         false
     }
-    fn broken_off(_: &()) -> bool {
+    fn departed(_: &()) -> bool {
         false
     }
     fn begun(_: &()) -> bool {
@@ -73,8 +73,8 @@
 }
 
 fn engine(fake: &Fake) -> Rc<Engine<Fake>> {
-    let (book, names) = (Rc::default(), Names::default());
-    let engine = Engine::new(settings(), &names, 1, book, fake.clone()).expect("good settings");
+    let (store, names) = (Rc::default(), Names::default());
+    let engine = Engine::new(settings(), &names, 1, store, fake.clone()).expect("good settings");
     engine.list(ListKind::Complete, vec![listed()]);
     engine
 }
@@ -104,8 +104,10 @@
             fake.take().end(Outcome::Ok, None, Some(1));
             asking.answer().await;
         }
-        // Its window shrinks with a client that leaves.
-        drop(engine.ask(asked(4_000_000)));
+        // Its window shrinks with a client that leaves when its answer is late.
+        let late = engine.ask(asked(4_000_000));
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        drop(late);
         fake.take().end(Outcome::Reset, None, None);
         let text = serde_json::to_vec(&engine.legacy()).expect("text");
         let legacy = || serde_json::from_slice::<Legacy>(&text).expect("what was written");
--- a/sloeline/src/management.rs
+++ b/sloeline/src/management.rs
@@ -49,16 +49,16 @@
 type Wrong = (StatusCode, &'static str, Option<&'static str>);
 
 /// Where operators' calls are answered.
-pub struct Desk<W: Wire> {
+pub struct Management<W: Wire> {
     engine: Rc<Engine<W>>,
     life: Rc<Life>,
     callers: RefCell<VecDeque<AbortHandle>>,
 }
 
-impl<W: Wire> Desk<W> {
+impl<W: Wire> Management<W> {
     /// No caller yet.
     pub fn new(engine: Rc<Engine<W>>, life: Rc<Life>) -> Rc<Self> {
-        Rc::new(Desk { engine, life, callers: RefCell::default() })
+        Rc::new(Management { engine, life, callers: RefCell::default() })
     }
 
     /// Answers calls; never returns.
@@ -123,7 +123,9 @@
             false => (StatusCode::NOT_FOUND, format!("no list has named {name}")),
         };
         Ok(match order {
-            Order::Ready if self.life.takes() && self.engine.listed() => (StatusCode::OK, "ready".to_owned()),
+            Order::Ready if self.life.takes() && self.life.may_serve(self.engine.listed()) => {
+                (StatusCode::OK, "ready".to_owned())
+            }
             Order::Ready => (StatusCode::SERVICE_UNAVAILABLE, "not ready".to_owned()),
             Order::Exclude(name) => known(self.engine.exclude(name)?, "out", name),
             Order::Include(name) => known(self.engine.include(name)?, "in use", name),
--- a/sloeline/src/server.rs
+++ b/sloeline/src/server.rs
@@ -22,13 +22,14 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{spawn_local, yield_now};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use crate::engine::Engine;
-use crate::gate::{Crowd, Fault, Gate, IDLE_TIME, Inbound, Progress, Stage};
-use crate::orders::Book;
+use crate::gate::{Crowd, Fault, Gate, IDLE_TIME, Inbound, Progress, Stage, waits};
+use crate::gauge::{Gauge, Taken};
+use crate::orders::OrderStore;
 use crate::pool::BUFFER;
-use crate::room::{Gauge, Taken};
+use crate::service::BACKLOG;
 use crate::stream::{Answering, Begun, End, MOST_HELD, Upload, begin};
 use crate::upstream::{Answered, Call, Payload, Reply};
 use crate::wire::{Answer, Asked, Failure, Wire};
@@ -49,7 +50,7 @@
 const QUICK_IDLE: Duration = Duration::from_secs(1);
 /// Pause after a connection could not be taken for want of descriptors.
 const NO_SOCKET_PAUSE: Duration = Duration::from_millis(20);
-/// How long a full house may last before connections beyond it are taken, to be told so.
+/// How long a lack of places may last before connections beyond it are taken, to be told so.
 const FULL_PATIENCE: Duration = Duration::from_millis(250);
 /// How many of them at once; they are within the descriptors that are reserved.
 const BEYOND: usize = 6;
@@ -60,6 +61,10 @@
 /// How much of it at the most.
 const MOST_LINGER: usize = 1 << 20;
 
+/// How long a process that holds no list of upstreams waits for one before it says that it is ready all the same:
+/// readiness is owed within 6 s of a restart, be discovery down or not. What comes to it is refused at once.
+const LIST_PATIENCE: Duration = Duration::from_secs(5);
+
 const TOO_LARGE: &str = "over 32 MiB";
 
 const REQ_ID: HeaderName = HeaderName::from_static("req-id");
@@ -95,26 +100,27 @@
 /// The phase of the balancer's life, and the orders that change it.
 pub struct Life {
     phases: watch::Sender<Phase>,
-    book: Rc<Book>,
+    store: Rc<OrderStore>,
     /// Another process of this balancer lives.
     accompanied: Cell<bool>,
     /// When the order to stop came.
     ordered: Cell<Option<Instant>>,
+    begun: Instant,
 }
 
 impl Life {
     /// Just begun.
-    pub fn new(book: Rc<Book>) -> Rc<Life> {
+    pub fn new(store: Rc<OrderStore>) -> Rc<Life> {
         let (phases, accompanied) = (watch::Sender::new(Phase::Running), Cell::default());
-        let life = Life { phases, book, accompanied, ordered: Cell::default() };
+        let life = Life { phases, store, accompanied, ordered: Cell::default(), begun: Instant::now() };
         life.follow();
         Rc::new(life)
     }
 
     /// The present phase, once what operators have set has been looked at.
     pub fn follow(&self) -> Phase {
-        self.book.look();
-        let evacuated = self.book.orders().evacuated;
+        self.store.look();
+        let evacuated = self.store.orders().evacuated;
         self.phases.send_if_modified(|phase| {
             let before = *phase;
             *phase = match before {
@@ -132,7 +138,7 @@
 
     /// Sends clients away, or takes them again.
     pub fn evacuate(&self, evacuated: bool) -> io::Result<()> {
-        self.book.change(|orders| orders.evacuated = evacuated)?;
+        self.store.change(|orders| orders.evacuated = evacuated)?;
         self.follow();
         Ok(())
     }
@@ -153,6 +159,11 @@
         self.accompanied.set(accompanied);
     }
 
+    /// Whether a process may be ready that holds a list of upstreams, or does not.
+    pub fn may_serve(&self, listed: bool) -> bool {
+        listed || self.begun.elapsed() > LIST_PATIENCE
+    }
+
     /// This process takes connections.
     pub fn takes(&self) -> bool {
         !self.phases.borrow().ends()
@@ -160,17 +171,17 @@
 }
 
 /// What callers may take up.
-pub struct Room {
+pub struct ConnectionLimits {
     /// Connections.
-    pub places: usize,
+    pub connections: usize,
     /// Bytes of the bodies of open requests and of their answers.
     pub bodies: usize,
 }
 
 /// The listener, and whether another process shares it.
-pub struct Door {
+pub struct Listener {
     /// Where connections come from.
-    pub listener: TcpListener,
+    pub socket: TcpListener,
     /// The platform holds it: what comes after the order to stop is a successor's.
     pub shared: bool,
 }
@@ -208,7 +219,7 @@
         engine: Rc<Engine<W>>,
         classes: Vec<(String, fs::Class)>,
         tenants: Vec<String>,
-        room: Room,
+        limits: ConnectionLimits,
         life: Rc<Life>,
     ) -> Rc<Self> {
         let longest = classes.iter().map(|(_, class)| class.deadline).max().unwrap_or(0);
@@ -219,7 +230,7 @@
             .map(|(i, (name, class))| (name.into_bytes(), (i, class)))
             .collect();
         let tenants = tenants.into_iter().enumerate().map(|(i, name)| (name.into_bytes(), i)).collect();
-        let (places, bodies) = (Gauge::new(room.places), Gauge::new(room.bodies));
+        let (places, bodies) = (Gauge::new(limits.connections), Gauge::new(limits.bodies));
         let (crowd, ids) = (Rc::default(), RefCell::default());
         let (beyond, full) = (Gauge::new(BEYOND), Cell::default());
         Rc::new(Server {
@@ -238,21 +249,24 @@
     }
 
     /// Other room than before. What is taken beyond it is given back as connections become idle.
-    pub fn resize(&self, room: &Room) {
-        self.places.resize(room.places);
-        self.bodies.resize(room.bodies);
-        while self.places.over() && self.crowd.close_oldest().is_ok() {}
+    pub fn resize(&self, limits: &ConnectionLimits) {
+        self.places.resize(limits.connections);
+        self.bodies.resize(limits.bodies);
+        // A place is given back once its task has been dropped.
+        for _ in 0..self.places.excess() {
+            let _ = self.crowd.close_oldest();
+        }
     }
 
     /// Takes connections until the order to stop, and a little longer where they are nobody else's; returns when
     /// all are closed.
-    pub async fn serve(self: Rc<Self>, door: Door) {
+    pub async fn serve(self: Rc<Self>, listener: Listener) {
         let mut phase = self.life.phases.subscribe();
         let taken_for = self.leave_within.mul_f64(STILL_TAKEN).max(LEAST_TAKEN).min(self.leave_within);
         let mut end = pin!(async {
             let _ = phase.wait_for(|p| p.ends()).await;
             eprintln!("sloeline: told to stop");
-            if !door.shared {
+            if !listener.shared {
                 sleep_until(self.life.ordered.get().unwrap_or_else(Instant::now) + taken_for).await;
             }
         });
@@ -260,7 +274,7 @@
             let accepted = tokio::select! {
                 biased;
                 () = &mut end => break,
-                accepted = door.listener.accept() => accepted,
+                accepted = listener.socket.accept() => accepted,
             };
             let Ok((stream, _)) = accepted else {
                 // Guards against a spin while no descriptor is free: the connection stays in the queue.
@@ -271,27 +285,62 @@
                 place = self.place() => self.welcome(stream, place),
                 // Guards what was accepted against the order to stop: it is this process's to serve.
                 () = &mut end => {
-                    self.welcome(stream, self.last_place(door.shared));
+                    self.welcome(stream, self.last_place(listener.shared));
                     break;
                 }
             }
         }
         // Closed here; another process that holds it goes on accepting. Where none does, what the system has let
         // in is this process's to answer: closed with its listener, it would be reset, and its request lost.
-        if door.shared {
-            drop(door.listener);
-        } else if let Ok(listener) = door.listener.into_std() {
-            while let Ok((stream, _)) = listener.accept() {
-                if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
-                    self.welcome(stream, self.last_place(false));
-                }
-            }
+        if listener.shared {
+            drop(listener.socket);
+        } else if let Ok(socket) = listener.socket.into_std() {
+            // From here on connections that have carried nothing are soon closed, and leave room.
+            self.life.phases.send_replace(Phase::Closing);
+            let ordered = self.life.ordered.get().unwrap_or_else(Instant::now);
+            let _ =
+                timeout_at(ordered + self.leave_within - NOTHING_YET / 2, self.empty_queue(&socket)).await;
         }
-        self.life.phases.send_replace(if door.shared { Phase::Leaving } else { Phase::Closing });
+        self.life.phases.send_replace(if listener.shared { Phase::Leaving } else { Phase::Closing });
         self.places.empty().await;
         self.beyond.empty().await;
     }
 
+    /// Takes what waits in the listener's queue. Guards the descriptors: idle clients that wait there would take
+    /// those of upstreams and of discovery, so one that has said nothing is closed where few places are left.
+    async fn empty_queue(self: &Rc<Self>, listener: &std::net::TcpListener) {
+        // What comes later than this many has come after the end.
+        for _ in 0..=BACKLOG {
+            let Ok((stream, _)) = listener.accept() else { return };
+            let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) else {
+                continue;
+            };
+            if self.places.used_part() < CROWDED || waits(&stream) {
+                let place = self.queued_place().await;
+                self.welcome(stream, place);
+            }
+        }
+    }
+
+    /// A place for one that has asked before the listener closed: an idle one makes room, or else it hears at once
+    /// that there is none.
+    async fn queued_place(&self) -> Place {
+        loop {
+            if let Some(taken) = self.places.take(1) {
+                return Place { _taken: taken, beyond: false };
+            }
+            let closing = self.crowd.close_oldest().is_ok();
+            if !closing && let Some(taken) = self.beyond.take(1) {
+                return Place { _taken: taken, beyond: true };
+            }
+            tokio::select! {
+                () = self.places.freed() => {}
+                () = self.beyond.freed() => {}
+                () = sleep(NO_SOCKET_PAUSE) => {}
+            }
+        }
+    }
+
     /// Serves a connection that has a place.
     fn welcome(self: &Rc<Self>, stream: TcpStream, place: Place) {
         let _ = stream.set_nodelay(true);
@@ -444,7 +493,7 @@
             Phase::Stopping | Phase::Leaving => self.life.accompanied.get(),
             Phase::Evacuated | Phase::Closing => false,
         };
-        if taking && self.engine.listed() {
+        if taking && self.life.may_serve(self.engine.listed()) {
             plain(StatusCode::OK, "ready")
         } else {
             plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
@@ -584,7 +633,8 @@
         // A request that names the whole address is for this path all the same.
         let path = head.uri.path_and_query().cloned().ok_or(bad("no path"))?;
         let upload = matches!(body, Payload::Passed(_));
-        let call = Call { method: head.method, uri: path.into(), headers, body };
+        let caller = Some(Rc::downgrade(progress));
+        let call = Call { method: head.method, uri: path.into(), headers, body, caller };
         Ok(Asked { class, time_left, tenant, work, retry, upload, call })
     }
 }
--- a/sloeline/src/stream.rs
+++ b/sloeline/src/stream.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, Sleep, sleep, sleep_until};
 
 use crate::gate::Progress;
-use crate::room::Taken;
+use crate::gauge::Taken;
 use crate::upstream::Lease;
 
 /// Most of a body that is held whole.
@@ -131,11 +131,6 @@
         self.spent.get()
     }
 
-    /// Its caller has left, as far as can be told without reading it.
-    pub fn broken_off(&self) -> bool {
-        self.end.get() != Some(End::Whole) && self.progress.broken_off()
-    }
-
     /// How it has ended, if it has.
     pub fn ended(&self) -> Option<End> {
         self.end.get()
--- a/zincstand/src/model/mod.rs
+++ b/zincstand/src/model/mod.rs
@@ -1,10 +1,12 @@
 //! `zincstand model`: days, experiments, comparisons, reports.
 
+mod at_size;
 mod compare;
 mod explain;
 mod plots;
+mod ramp;
 mod report;
-mod tables;
+pub mod tables;
 
 pub use tables::table;
 
@@ -48,11 +50,18 @@
                             base.jsonl base.jsonl --policy-a random --policy-b module"
     )]
     Compare(compare::Compare),
+    /// Tell what cold servers get from all balancers together, and when they are back
+    #[command(after_help = "Example: zincstand model ramp --balancers 2,30 --seeds 50")]
+    Ramp(ramp::Ramp),
     /// Tell where a day's worth went: by cause, server and second
     Explain(explain::Explain),
     /// Write one HTML page with plots of a day and of experiments
     #[command(after_help = "Example: zincstand model report --kind upgrade+hand --seed 34 --out day.html")]
     Report(report::Report),
+    /// Tell what one first call becomes at the bottom of 2 to 30 tiers
+    Depth(at_size::DepthArgs),
+    /// Tell what the loss of a zone, a rack or a region costs a fleet of 2,000
+    Failures(at_size::FailureArgs),
 }
 
 /// A day drawn from a kind and a seed.
@@ -162,13 +171,16 @@
         Command::Run(args) => one_day(&args),
         Command::Experiment(args) => many_days(&args),
         Command::Compare(args) => compare::run(&args),
+        Command::Ramp(args) => ramp::run(&args),
         Command::Explain(args) => explain::run(&args),
         Command::Report(args) => report::run(&args),
+        Command::Depth(args) => at_size::depth(&args),
+        Command::Failures(args) => at_size::failures(&args),
     }
 }
 
 /// Prints; unlike `println!`, a closed reader is an error that can be told from others.
-pub fn print(text: &str) -> Result<()> {
+pub(crate) fn print(text: &str) -> Result<()> {
     let mut out = std::io::stdout().lock();
     for line in text.lines() {
         writeln!(out, "{}", line.trim_end())?;
--- a/zincstand/src/scale/updates.rs
+++ b/zincstand/src/scale/updates.rs
@@ -7,7 +7,7 @@
 use tokio::time::sleep;
 use zincstand_rig::balancer::{Balancer, Settings, stop};
 use zincstand_rig::discovery::{Discovery, Lifecycle, Told};
-use zincstand_rig::hollow::Learning;
+use zincstand_rig::hollow::{Hush, Learning};
 use zincstand_rig::machine::Needs;
 use zincstand_rig::report::Slope;
 use zincstand_rig::slope::Point;
@@ -54,7 +54,7 @@
 
 /// The same for processes of their own: one acts on a version once its next watch asks from there, since it hands
 /// its module what it was told before it asks again.
-async fn real(bench: &Bench, rounds: usize) -> Result<Gathered> {
+async fn real(bench: &Bench, rounds: u32) -> Result<Gathered> {
     let (sizes, (_, upstreams)) = (processes(bench), sizes(bench));
     let discovery = Discovery::start()?;
     discovery.set((0..upstreams).map(entry).collect())?;
@@ -116,19 +116,18 @@
     }
 
     fn slopes(self, name: &str, remark: &str) -> [Slope; 2] {
-        let remark = format!("{remark}; the slowest of all took {:.1} ms", self.worst);
-        [
-            Slope::new(format!("updates: {name}, median balancer"), "balancers", "ms", self.median)
-                .remark(&remark),
-            Slope::new(format!("updates: {name}, last balancer"), "balancers", "ms", self.last)
-                .remark(&remark),
-        ]
+        let remark = format!("{remark}; the slowest took {:.1} ms", self.worst);
+        let slope = |which, points| {
+            Slope::new(format!("updates: {name}, {which} balancer"), "balancers", "ms", points)
+        };
+        [slope("median", self.median), slope("last", self.last).remark(remark)]
     }
 }
 
 pub async fn measure(bench: &Bench) -> Result<Vec<Slope>> {
+    let _hush = Hush::begin()?;
     let (sizes, upstreams) = sizes(bench);
-    let rounds = if bench.quick { 3 } else { 9 };
+    let rounds: u32 = if bench.quick { 3 } else { 9 };
     let bursts = if bench.quick { 1 } else { 3 };
     let (mut one, mut burst, mut slow, mut others) =
         (Gathered::default(), Gathered::default(), Gathered::default(), Gathered::default());
@@ -143,7 +142,7 @@
             scene.all_waiting().await?;
         }
         let spent = scene.crowd.processor().saturating_sub(before).as_secs_f64();
-        processor.push(Point { x, y: spent * 1e6 / x / rounds as f64 });
+        processor.push(Point { x, y: spent * 1e6 / x / f64::from(rounds) });
         one.add(balancers, &lags);
 
         let (mut lags, before) = (Vec::new(), scene.all_waiting().await?.total);
@@ -158,9 +157,9 @@
 
         scene.crowd.stall(true);
         let (mut all, mut quick) = (Vec::new(), Vec::new());
-        for _ in 0..rounds {
-            // Past the last one's standstill, and not in step with it.
-            sleep(SLOW.every * 3 / 2).await;
+        for round in 0..rounds {
+            // The last one ends with a standstill; each round begins at another point of the next.
+            sleep(SLOW.every + SLOW.every * round / rounds).await;
             let told = scene.change(1)?;
             let (of_all, of_others) = scene.lags(told).await?;
             all.push(of_all);
