Let the one command measure depth and failures too

Cause: `scale` made five slopes and left depth and failures to two further commands, where one is to make all figures again.

--- a/zincstand/src/model/at_size.rs
+++ b/zincstand/src/model/at_size.rs
@@ -56,6 +56,13 @@
     out: Option<PathBuf>,
 }
 
+/// Both at their usual sizes; what `out` names has the JSON of each beside it.
+pub fn both(seed: u64, quick: bool, out: Option<&Path>) -> Result<()> {
+    let beside = |name: &str| out.map(|out| out.with_extension(format!("{name}.json")));
+    depth(&DepthArgs { tiers: vec![2, 4, 8, 16, 30], seed, seeds: None, quick, out: beside("depth") })?;
+    failures(&FailureArgs { servers: None, rate: None, seed, quick, out: beside("failures") })
+}
+
 /// Where, and from what, figures come.
 #[derive(Serialize)]
 struct Source {
--- a/zincstand/src/model/mod.rs
+++ b/zincstand/src/model/mod.rs
@@ -1,6 +1,6 @@
 //! `zincstand model`: days, experiments, comparisons, reports.
 
-mod at_size;
+pub mod at_size;
 mod compare;
 mod explain;
 mod plots;
--- a/zincstand/src/scale/mod.rs
+++ b/zincstand/src/scale/mod.rs
@@ -29,7 +29,7 @@
 pub struct Scale {
     #[command(flatten)]
     options: Options,
-    /// One of the measurements; all without it
+    /// One of the measurements on sockets; all without it, and then `model depth` and `model failures`
     #[command(subcommand)]
     part: Option<Part>,
 }
@@ -159,7 +159,7 @@
 
 /// Measures, prints and writes the report.
 pub fn run(Scale { options, part }: Scale) -> Result<()> {
-    let bench = Bench::new(&options)?;
+    let (bench, whole) = (Bench::new(&options)?, part.is_none());
     let parts = part.map_or(Part::ALL.to_vec(), |part| vec![part]);
     let machine = Machine::here();
     let mut needs = Needs::default();
@@ -199,7 +199,11 @@
         let text = serde_json::to_string_pretty(&report)?;
         std::fs::write(out, text + "\n").with_context(|| format!("cannot write {}", out.display()))?;
     }
-    crate::model::print(&screen(&report))
+    crate::model::print(&screen(&report))?;
+    if whole {
+        crate::model::at_size::both(options.seed, options.quick, options.out.as_deref())?
+    }
+    Ok(())
 }
 
 /// The report as a table.
