--- a/zincstand/src/scale/mod.rs
+++ b/zincstand/src/scale/mod.rs
@@ -29,7 +29,7 @@
 pub struct Scale {
     #[command(flatten)]
     options: Options,
-    /// One of the measurements on sockets; all without it, and then `model depth` and `model failures`
+    /// One of the measurements on sockets; all without it, after `model depth` and `model failures`
     #[command(subcommand)]
     part: Option<Part>,
 }
@@ -170,6 +170,10 @@
     }
     needs.check(&machine, most_descriptors())?;
     eprintln!("in all at most {} processes at once and {} MB", needs.processes, needs.memory_mb);
+    // First: from the runtime's on, Ctrl-C is its to heed, and the model knows nothing of it.
+    if whole {
+        crate::model::at_size::both(options.seed, options.quick, options.out.as_deref())?;
+    }
     let began = Instant::now();
     let runtime = tokio::runtime::Runtime::new().context("no threads for the stand-ins")?;
     let slopes = runtime.block_on(async {
@@ -199,11 +203,7 @@
         let text = serde_json::to_string_pretty(&report)?;
         std::fs::write(out, text + "\n").with_context(|| format!("cannot write {}", out.display()))?;
     }
-    crate::model::print(&screen(&report))?;
-    if whole {
-        crate::model::at_size::both(options.seed, options.quick, options.out.as_deref())?
-    }
-    Ok(())
+    crate::model::print(&screen(&report))
 }
 
 /// The report as a table.
