--- a/fleet/src/depth.rs
+++ b/fleet/src/depth.rs
@@ -5,6 +5,7 @@
 
 use crate::day::*;
 use crate::judge::TierCount;
+use crate::kinds::fault;
 use crate::policy::Kind;
 use crate::span::Span;
 use crate::world::play;
@@ -356,24 +357,6 @@
     day
 }
 
-/// A fault that befalls all of the first tier.
-pub(crate) fn fault(kind: FaultKind, at: f64, length: f64) -> Fault {
-    Fault {
-        kind,
-        at: Span::s(at),
-        length: Span::s(length),
-        tier: 0,
-        which: Vec::new(),
-        zone: None,
-        class: None,
-        share: 1.0,
-        factor: 1.0,
-        learned: false,
-        restarts: false,
-        drain: Span(0),
-    }
-}
-
 /// A day of one tier and one class without troubles: `servers` in each zone, as many balancers, equal clients who
 /// do not try again. Nothing but cores is scarce, so that the tiers of a deep day are alike.
 pub(crate) fn plain(seed: u64, seconds: f64, zones: Vec<String>, servers: u32, rate: f64) -> Day {
--- a/fleet/src/failures.rs
+++ b/fleet/src/failures.rs
@@ -8,8 +8,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::day::*;
-use crate::depth::{Fit, fault, plain};
+use crate::depth::{Fit, plain};
 use crate::judge::{NewsCount, Rule};
+use crate::kinds::fault;
 use crate::policy::{Kind, Policy};
 use crate::server::Truth;
 use crate::span::Span;
