Fail single system calls of the real program in tests; three known failures

Reason: no test could make accept, the log or a read fail as Linux documents. A preloaded library of our own (crates/fault-injection) does, by a plan in the environment.

Measured: failed_accepts_at_a_stop_cost_no_request leaves 198 of 250 without an answer (ECONNABORTED at every third accept4); failed_accepts_delay_no_request takes over 2 s for 200 calls; with a log that cannot be written the process never listens.

--- a/crates/proxy/tests/common/setup.rs
+++ b/crates/proxy/tests/common/setup.rs
@@ -7,6 +7,8 @@
 use std::process::{Command, Stdio};
 use std::sync::mpsc::channel;
 
+use zincstand_fault_injection::{PLAN_VARIABLE, SWITCH_VARIABLE, library_path};
+
 use super::process::{lock_process_start, write_temporary_file};
 use super::{Balancer, entry, list, nowhere};
 
@@ -53,6 +55,12 @@
     pub folder: Option<PathBuf>,
     /// The listening socket that the platform passes on (`EDGE_FD`).
     pub door: Option<TcpListener>,
+    /// The system calls that fail, as a plan for the fault injection library.
+    pub faults: &'static str,
+    /// The file that puts the plan in force while it exists; without one it always is.
+    pub fault_switch: Option<PathBuf>,
+    /// Where the log goes in place of [`Balancer::log`], and the address to be listened on is then fixed.
+    pub log: Option<Stdio>,
 }
 
 impl Setup {
@@ -78,6 +86,9 @@
             management: None,
             folder: None,
             door: None,
+            faults: "",
+            fault_switch: None,
+            log: None,
         }
     }
 
@@ -121,6 +132,16 @@
         if let Some(address) = self.management {
             command.env("EDGE_MANAGEMENT", address);
         }
+        if !self.faults.is_empty() {
+            command.env("LD_PRELOAD", library_path()).env(PLAN_VARIABLE, self.faults);
+        }
+        if let Some(switch) = &self.fault_switch {
+            command.env(SWITCH_VARIABLE, switch);
+        }
+        let logs_elsewhere = self.log.is_some();
+        if let Some(log) = self.log {
+            command.stderr(log);
+        }
         if let Some(door) = self.door {
             // Standard input is the one descriptor that is inherited for certain.
             command.env("EDGE_FD", "0").stdin(Stdio::from(OwnedFd::from(door)));
@@ -129,6 +150,10 @@
             let _lock = lock_process_start();
             command.spawn().expect("it starts")
         };
+        if logs_elsewhere {
+            let address = self.listen.parse().expect("a fixed address");
+            return Balancer { child, address, management: None, log: channel().1, file };
+        }
         let mut log = BufReader::new(child.stderr.take().expect("a pipe"));
         let mut address = || {
             let mut line = String::new();
--- /dev/null
+++ b/crates/proxy/tests/system_calls.rs
@@ -0,0 +1,76 @@
+//! Single system calls of the program fail as Linux documents that they may: no request is lost by it.
+
+mod common;
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::Stdio;
+use std::sync::mpsc::Receiver;
+use std::time::{Duration, Instant};
+
+use common::*;
+
+/// An upstream that answers at once; the requests that reach it.
+fn upstream() -> (SocketAddr, Receiver<Message>) {
+    let upstream = Peer::new();
+    (upstream.address, upstream.serve(|_, stream| ok(stream)))
+}
+
+/// Sends so many requests, each on a connection of its own, and returns the statuses that are not 200; 0 stands for
+/// a connection that ended without an answer.
+fn failures(address: SocketAddr, requests: u32) -> Vec<u16> {
+    let ask = |id| {
+        let Ok(mut stream) = TcpStream::connect(address) else { return 0 };
+        let _ = stream.set_read_timeout(Some(LONG));
+        let sent = stream.write_all(request("look", &format!("r-{id}"), "").as_bytes());
+        sent.ok().and_then(|()| read(&mut stream)).map_or(0, |answer| answer.status())
+    };
+    (0..requests).map(ask).filter(|status| *status != 200).collect()
+}
+
+#[test]
+fn failed_accepts_at_a_stop_cost_no_request() {
+    for error in ["ECONNABORTED", "EINTR", "ENFILE", "EMFILE", "ENOBUFS"] {
+        let (address, _requests) = upstream();
+        let faults = Box::leak(format!("accept4:{error}/3").into_boxed_str());
+        let balancer = Setup { faults, deadline_ms: 1000, ..Setup::knowing(&[address]) }.start();
+        assert_eq!(balancer.ask(READY).status(), 200, "{error}");
+        balancer.terminate();
+        // More than are accepted before the listener is closed, if each failure costs a pause.
+        let ask = |id| {
+            let mut client = balancer.connect();
+            client.write_all(request("look", &format!("r-{id}"), "").as_bytes()).expect("it is queued");
+            client
+        };
+        let mut waiting: Vec<_> = (0..250).map(ask).collect();
+        let unanswered = waiting.iter_mut().filter_map(|client| read(client).is_none().then_some(())).count();
+        assert_eq!(unanswered, 0, "{error}");
+    }
+}
+
+#[test]
+fn failed_accepts_delay_no_request() {
+    let (address, _requests) = upstream();
+    let balancer = Setup { faults: "accept4:ECONNABORTED/2", ..Setup::knowing(&[address]) }.start();
+    let start = Instant::now();
+    assert_eq!(failures(balancer.address, 200), []);
+    assert!(start.elapsed() < Duration::from_secs(2), "{:?}", start.elapsed());
+}
+
+#[test]
+fn a_log_that_cannot_be_written_ends_nothing() {
+    let (address, _requests) = upstream();
+    // A port of its own: the log, which else tells it, cannot be read.
+    let listen = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port").to_string();
+    let full = std::fs::OpenOptions::new().write(true).open("/dev/full").expect("a device");
+    let log = Some(Stdio::from(full));
+    let mut balancer = Setup { listen, log, ..Setup::knowing(&[address]) }.start();
+    let up = (0..200).any(|_| {
+        std::thread::sleep(Duration::from_millis(20));
+        TcpStream::connect(balancer.address).is_ok()
+    });
+    assert!(up, "it never listens");
+    assert_eq!(failures(balancer.address, 20), []);
+    balancer.terminate();
+    assert!(balancer.child.wait().expect("it ends").success());
+}
