Write the log from a thread of its own, and never panic where it cannot be written

Cause: eprintln! panics where standard error fails (a log on a full disk, a reader that is gone), and it waits where a pipe is full. The first line of the start is one of them: with such a log the process never listens; a later one ends the task that writes it, the accepting one included. Change: log_line! hands the line to a thread; one that finds no room is counted and dropped.

--- a/crates/proxy/src/admin/server.rs
+++ b/crates/proxy/src/admin/server.rs
@@ -21,6 +21,7 @@
 use crate::admin::response::{self, CallResult, TextResponse};
 use crate::dispatch::{Dispatcher, Transport};
 use crate::lifecycle::Lifecycle;
+use crate::log::log_line;
 
 /// Most connections at once. One more closes the oldest, so that idle connections delay no call.
 const MAX_CONNECTIONS: usize = 12;
@@ -97,7 +98,7 @@
         match self.execute(call) {
             Ok(result) => result.into_response(),
             Err(error) => {
-                eprintln!("admin: operator override not saved: {error}");
+                log_line!("admin: operator override not saved: {error}");
                 response::not_saved(&error)
             }
         }
@@ -129,7 +130,7 @@
         if !self.dispatcher.exclude(&upstream)? {
             return Ok(CallResult::UnknownUpstream { upstream });
         }
-        eprintln!("admin: upstream {upstream} excluded by operator");
+        log_line!("admin: upstream {upstream} excluded by operator");
         Ok(CallResult::Excluded { upstream })
     }
 
@@ -137,7 +138,7 @@
         if !self.dispatcher.include(&upstream)? {
             return Ok(CallResult::UnknownUpstream { upstream });
         }
-        eprintln!("admin: upstream {upstream} included by operator");
+        log_line!("admin: upstream {upstream} included by operator");
         Ok(CallResult::Included { upstream })
     }
 }
--- a/crates/proxy/src/discovery/list.rs
+++ b/crates/proxy/src/discovery/list.rs
@@ -8,6 +8,7 @@
 use zincstand_settings::{micros_from_millis, unit_weight};
 
 use crate::discovery::endpoint::Endpoint;
+use crate::log::log_line;
 
 /// An endpoint list as discovery sends it. The names of its keys are discovery's.
 #[derive(Deserialize)]
@@ -80,7 +81,7 @@
             ListEntry::Readable(instance) => Some(instance.into_endpoint()),
             ListEntry::Unreadable(value) => {
                 let Some(name) = value.get("instanceId").and_then(serde_json::Value::as_str) else {
-                    eprintln!("discovery: ignored an entry without an instanceId: {value}");
+                    log_line!("discovery: ignored an entry without an instanceId: {value}");
                     return None;
                 };
                 Some(unreadable_endpoint(name, &value))
@@ -114,7 +115,7 @@
 
 /// The endpoint that stands for an entry that cannot be read; `entry` is its text for the log.
 fn unreadable_endpoint(instance: &str, entry: &dyn Display) -> Endpoint {
-    eprintln!(
+    log_line!(
         "discovery: the entry of {instance:?} cannot be read, so the instance gets no new requests: {entry}"
     );
     Endpoint {
--- a/crates/proxy/src/discovery/mod.rs
+++ b/crates/proxy/src/discovery/mod.rs
@@ -24,6 +24,7 @@
 use crate::discovery::poll_timing::PollTiming;
 use crate::discovery::watch::Watch;
 
+use crate::log::log_line;
 pub use list::EndpointList;
 
 /// How often the first call to a new address is retried before a failure is reported to the policy.
@@ -132,7 +133,7 @@
                 }
             }
             Err(error) => {
-                eprintln!("discovery {address}: the complete list cannot be fetched: {error}");
+                log_line!("discovery {address}: the complete list cannot be fetched: {error}");
                 on_list(ListKind::Failed, Vec::new());
             }
         }
--- a/crates/proxy/src/discovery/watch.rs
+++ b/crates/proxy/src/discovery/watch.rs
@@ -13,6 +13,7 @@
 use crate::discovery::client::{self, DiscoveryConnection, ListQuery, ListResponse};
 use crate::discovery::endpoint::Endpoint;
 use crate::discovery::error::DiscoveryError;
+use crate::log::log_line;
 
 /// A call under way.
 type ListCall = Pin<Box<dyn Future<Output = Result<ListResponse, DiscoveryError>>>>;
@@ -95,7 +96,7 @@
             && list.generation < known
         {
             // Nobody knows which list the changes towards an older version lead to.
-            eprintln!(
+            log_line!(
                 "discovery {}: changes lead to version {}, older than the known version {known}; \
                  the complete list is fetched",
                 self.discovery.address.get(),
@@ -113,7 +114,7 @@
     }
 
     fn on_failure(&mut self, failure: CallFailure) {
-        eprintln!("discovery {}: no endpoint list: {}", self.discovery.address.get(), failure.error);
+        log_line!("discovery {}: no endpoint list: {}", self.discovery.address.get(), failure.error);
         // Of two late calls the earlier one is kept: it is closer to its end.
         self.late_call = self.late_call.take().or(failure.unfinished);
         if self.unreported_retries > 0 || self.discovery.restarts_by_itself {
--- a/crates/proxy/src/dispatch/dispatcher.rs
+++ b/crates/proxy/src/dispatch/dispatcher.rs
@@ -19,6 +19,7 @@
 use crate::dispatch::timers::{TimerKind, TimerQueue};
 use crate::dispatch::transport::Transport;
 use crate::lifecycle::overrides::OverrideStore;
+use crate::log::log_line;
 
 /// A request that the policy has left without a response fails this long before the client's deadline.
 pub(super) const LAST_RESORT_MARGIN: Micros = 5_000;
@@ -149,7 +150,7 @@
             // The process goes on for the sake of the other requests. Those that the policy has left without a
             // response fail by their last-resort timer.
             if handled.is_err() {
-                eprintln!("defect: the policy panicked while it handled an event");
+                log_line!("defect: the policy panicked while it handled an event");
             }
             for action in actions.drain(..) {
                 self.apply(now, action);
--- a/crates/proxy/src/dispatch/pending_request.rs
+++ b/crates/proxy/src/dispatch/pending_request.rs
@@ -9,6 +9,7 @@
 use crate::dispatch::dispatcher::Dispatcher;
 use crate::dispatch::messages::{BodyEnd, Failure, FinalResponse, IncomingRequest};
 use crate::dispatch::transport::Transport;
+use crate::log::log_line;
 
 /// The policy is given this much less than the client's time: it allows for the response's way back and the
 /// granularity of timers.
@@ -82,7 +83,7 @@
 
     async fn receive(&mut self) -> FinalResponse<T::Response> {
         (&mut self.response).await.unwrap_or_else(|_| {
-            eprintln!("defect: request {} was dropped without a response", self.request);
+            log_line!("defect: request {} was dropped without a response", self.request);
             FinalResponse::Failed(Failure::Upstream)
         })
     }
--- a/crates/proxy/src/dispatch/timer_task.rs
+++ b/crates/proxy/src/dispatch/timer_task.rs
@@ -8,6 +8,7 @@
 use crate::dispatch::messages::{Failure, FinalResponse};
 use crate::dispatch::timers::TimerKind;
 use crate::dispatch::transport::Transport;
+use crate::log::log_line;
 
 impl<T: Transport> Dispatcher<T> {
     /// Fires the timers when they are due; never returns.
@@ -54,7 +55,7 @@
     /// Fails a request that the policy has left without a response until just before the client's deadline.
     fn fail_unanswered(self: &Rc<Self>, request: RequestId) {
         let Some(responder) = self.requests.borrow_mut().take_responder(request) else { return };
-        eprintln!(
+        log_line!(
             "defect: the policy left request {request} without a response; failed just before its deadline"
         );
         let _ = responder.send(FinalResponse::Failed(Failure::DeadlineExceeded));
--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -15,6 +15,7 @@
 use crate::downstream::server::{Server, UpstreamTransport};
 use crate::downstream::shutdown::UNUSED_CONNECTION_GRACE;
 use crate::lifecycle::Phase;
+use crate::log::log_line;
 
 /// Connections that may wait to be accepted.
 pub const BACKLOG: u32 = 1024;
@@ -73,7 +74,7 @@
     /// Waits until no more connections are to be accepted.
     async fn accepting_ends(&self, mut phases: watch::Receiver<Phase>, shared: bool) {
         let _ = phases.wait_for(|phase| phase.is_shutting_down()).await;
-        eprintln!("zincstand-proxy: shutdown requested");
+        log_line!("zincstand-proxy: shutdown requested");
         if !shared {
             let stop_requested = self.lifecycle.shutdown_requested_at().unwrap_or_else(Instant::now);
             sleep_until(stop_requested + self.shutdown.accepting_time()).await;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -9,6 +9,7 @@
 mod error_chain;
 pub mod lifecycle;
 mod limits;
+mod log;
 mod process;
 mod upstream;
 
--- a/crates/proxy/src/lifecycle/hot_restart/saved_state.rs
+++ b/crates/proxy/src/lifecycle/hot_restart/saved_state.rs
@@ -9,6 +9,7 @@
 use zincstand_policy::{LearnedState, ServerId};
 
 use crate::lifecycle::atomic_file;
+use crate::log::log_line;
 
 /// The file of the saved state. It keeps its old name for processes of older versions.
 pub(super) const SAVED_STATE_FILE: &str = "sloeline-learned.json";
@@ -40,7 +41,7 @@
         match serde_json::from_slice(&content) {
             Ok(saved) => Some(saved),
             Err(error) => {
-                eprintln!("hot restart: saved state {} ignored: {error}", path.display());
+                log_line!("hot restart: saved state {} ignored: {error}", path.display());
                 None
             }
         }
--- a/crates/proxy/src/lifecycle/overrides/override_store.rs
+++ b/crates/proxy/src/lifecycle/overrides/override_store.rs
@@ -8,6 +8,7 @@
 use crate::lifecycle::atomic_file;
 use crate::lifecycle::overrides::OperatorOverrides;
 use crate::lifecycle::overrides::file_version::FileVersion;
+use crate::log::log_line;
 
 /// The file of the overrides. It keeps its old name for processes of older versions.
 pub(super) const OVERRIDES_FILE: &str = "sloeline-orders.json";
@@ -56,7 +57,7 @@
         self.file_version.set(file_version);
         match read(&path) {
             Ok(overrides) => self.set(overrides),
-            Err(error) => eprintln!("overrides: file {} ignored: {error}", path.display()),
+            Err(error) => log_line!("overrides: file {} ignored: {error}", path.display()),
         }
     }
 
--- a/crates/proxy/src/lifecycle/process_lifecycle.rs
+++ b/crates/proxy/src/lifecycle/process_lifecycle.rs
@@ -10,6 +10,7 @@
 
 use crate::lifecycle::Phase;
 use crate::lifecycle::overrides::OverrideStore;
+use crate::log::log_line;
 
 /// How long a process without an endpoint list reports that it is not ready. After that it is ready without one and
 /// rejects requests at once: readiness is due within 6 s of a restart, whether discovery is up or down.
@@ -69,7 +70,7 @@
                 return false;
             }
             let state = if evacuated { "evacuated" } else { "rejoined" };
-            eprintln!("zincstand-proxy: balancer {state} by operator");
+            log_line!("zincstand-proxy: balancer {state} by operator");
             *phase = next;
             true
         });
--- a/crates/proxy/src/process/mod.rs
+++ b/crates/proxy/src/process/mod.rs
@@ -13,6 +13,7 @@
 use tokio::task::LocalSet;
 
 use crate::lifecycle::hot_restart::inherit_listener;
+use crate::log;
 
 pub use error::StartError;
 
@@ -28,7 +29,9 @@
         .transpose()?;
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(StartError::Runtime)?;
-    LocalSet::new().block_on(&runtime, startup::run(inherited))
+    let ended = LocalSet::new().block_on(&runtime, startup::run(inherited));
+    log::flush();
+    ended
 }
 
 /// The value of an environment variable; none if it is not set or not valid UTF-8.
--- a/crates/proxy/src/process/reload.rs
+++ b/crates/proxy/src/process/reload.rs
@@ -6,6 +6,7 @@
 use crate::discovery::Discovery;
 use crate::dispatch::Dispatcher;
 use crate::error_chain::ErrorChain;
+use crate::log::log_line;
 use crate::process::environment_variable;
 use crate::process::transport::SocketTransport;
 
@@ -27,7 +28,7 @@
         match Config::read_again(environment_variable) {
             Ok(config) => {
                 let address = config.discovery_address;
-                eprintln!(
+                log_line!(
                     "zincstand-proxy {name}: configuration read again; the address of discovery is {address}"
                 );
                 let dispatcher = self.dispatcher.clone();
@@ -35,7 +36,7 @@
                     dispatcher.update_endpoints(kind, endpoints);
                 });
             }
-            Err(error) => eprintln!(
+            Err(error) => log_line!(
                 "zincstand-proxy {name}: the new configuration is rejected and the running configuration is kept: {}",
                 ErrorChain(&error)
             ),
--- a/crates/proxy/src/process/save_task.rs
+++ b/crates/proxy/src/process/save_task.rs
@@ -9,6 +9,7 @@
 
 use crate::dispatch::Dispatcher;
 use crate::lifecycle::Lifecycle;
+use crate::log::log_line;
 use crate::process::transport::SocketTransport;
 
 /// Time between two saves. A process may be killed without notice, and its successor restores only state that is a
@@ -38,7 +39,7 @@
         while self.lifecycle.accepts_connections() {
             if let Err(error) = self.dispatcher.saved_state().save(&self.folder) {
                 let name = &self.name;
-                eprintln!("zincstand-proxy {name}: hot restart: the learned state cannot be saved: {error}");
+                log_line!("zincstand-proxy {name}: hot restart: the learned state cannot be saved: {error}");
             }
             sleep(SAVE_INTERVAL).await;
         }
--- a/crates/proxy/src/process/sibling_watch.rs
+++ b/crates/proxy/src/process/sibling_watch.rs
@@ -11,6 +11,7 @@
 use crate::downstream::Server;
 use crate::lifecycle::Lifecycle;
 use crate::lifecycle::hot_restart::ProcessPresence;
+use crate::log::log_line;
 use crate::process::resource_limits::ResourceBudget;
 use crate::process::transport::SocketTransport;
 use crate::upstream::Upstreams;
@@ -92,7 +93,7 @@
     fn divide_resources(&self) {
         let name = &self.name;
         let processes = self.siblings.known_processes();
-        eprintln!(
+        log_line!(
             "zincstand-proxy {name}: {processes} processes of this balancer are running and share its descriptors \
              and memory"
         );
--- a/crates/proxy/src/process/startup.rs
+++ b/crates/proxy/src/process/startup.rs
@@ -20,6 +20,7 @@
 use crate::lifecycle::hot_restart::{ProcessPresence, SavedState};
 use crate::lifecycle::overrides::OverrideStore;
 use crate::lifecycle::state_folder;
+use crate::log::log_line;
 use crate::process::environment_variable;
 use crate::process::error::StartError;
 use crate::process::listeners::{admin_listener, client_listener, local_address};
@@ -60,7 +61,7 @@
     let client_address = local_address(&listener)?;
     let lifecycle = Lifecycle::new(state.overrides.clone());
     let admin = admin_listener(&config)?;
-    eprintln!("zincstand-proxy {} listens on {client_address}", core.name);
+    log_line!("zincstand-proxy {} listens on {client_address}", core.name);
     if let Some(admin) = admin {
         core.serve_operators(admin, &lifecycle)?;
     }
@@ -173,7 +174,7 @@
     /// Spawns the server of operators' calls.
     fn serve_operators(&self, listener: TcpListener, lifecycle: &Rc<Lifecycle>) -> Result<(), StartError> {
         let address = local_address(&listener)?;
-        eprintln!("zincstand-proxy {} takes operators' calls on {address}", self.name);
+        log_line!("zincstand-proxy {} takes operators' calls on {address}", self.name);
         let server = AdminServer::new(self.dispatcher.clone(), lifecycle.clone());
         spawn_local(server.serve(listener));
         Ok(())
