Repeat interrupted and short socket calls, and accept on after errors that pass

Cause: any error of a call on a client's socket counted as a client that has left, EINTR included; the runtime takes a short read or write for an empty or full socket and waits for an event that never comes; each failed accept paused for 20 ms, and the first one ended the emptying of a closing listener's queue. Change: all calls on TCP sockets go through the new folder sockets: repeated where interrupted, and read and written until the kernel says empty or full. Accepting pauses for want of descriptors or memory alone, 1 ms doubling to 20.

--- a/crates/proxy/src/admin/server.rs
+++ b/crates/proxy/src/admin/server.rs
@@ -12,16 +12,16 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::task::{AbortHandle, spawn_local};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use crate::admin::call::{AdminCall, RequestError};
 use crate::admin::response::{self, CallResult, TextResponse};
 use crate::dispatch::{Dispatcher, Transport};
 use crate::lifecycle::Lifecycle;
 use crate::log::log_line;
+use crate::sockets::{Socket, accept};
 
 /// Most connections at once. One more closes the oldest, so that idle connections delay no call.
 const MAX_CONNECTIONS: usize = 12;
@@ -31,8 +31,6 @@
 const MAX_HEAD_SIZE: usize = 8192;
 /// Largest body of a request, in bytes. No call has one, but clients may send one with a POST.
 const MAX_BODY_SIZE: usize = 4096;
-/// Pause after a connection could not be accepted, which fails again at once while descriptors are short.
-const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 
 /// Serves operators' calls.
 pub struct AdminServer<T: Transport> {
@@ -51,16 +49,12 @@
     /// Accepts connections and answers their calls; never returns.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => self.start_connection(stream),
-                Err(_) => sleep(ACCEPT_RETRY_PAUSE).await,
-            }
+            let stream = accept(&listener).await;
+            self.start_connection(Socket::new(stream));
         }
     }
 
-    fn start_connection(self: &Rc<Self>, stream: TcpStream) {
-        // Without it the answer is merely later.
-        let _ = stream.set_nodelay(true);
+    fn start_connection(self: &Rc<Self>, stream: Socket) {
         let task = spawn_local(self.clone().serve_connection(stream));
         let mut connections = self.connections.borrow_mut();
         connections.retain(|connection| !connection.is_finished());
@@ -72,14 +66,14 @@
         connections.push_back(task.abort_handle());
     }
 
-    async fn serve_connection(self: Rc<Self>, stream: TcpStream) {
+    async fn serve_connection(self: Rc<Self>, stream: Socket) {
         let service = service_fn(move |request| {
             let server = self.clone();
             async move { Ok::<TextResponse, Infallible>(server.answer(request).await) }
         });
         let mut builder = http1::Builder::new();
         builder.keep_alive(false).max_buf_size(MAX_HEAD_SIZE);
-        let connection = builder.serve_connection(TokioIo::new(stream), service);
+        let connection = builder.serve_connection(stream, service);
         // Whatever ends the connection, nobody is left to be told.
         let _ = timeout(CONNECTION_TIMEOUT, connection).await;
     }
--- a/crates/proxy/src/discovery/client.rs
+++ b/crates/proxy/src/discovery/client.rs
@@ -7,13 +7,12 @@
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response, StatusCode, body::Incoming, header::HOST};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::timeout;
 
 use crate::discovery::error::DiscoveryError;
 use crate::discovery::list::EndpointList;
+use crate::sockets;
 
 /// The complete list; a watch call adds its parameters.
 const LIST_PATH: &str = "/registry/instances";
@@ -56,10 +55,8 @@
 
 impl DiscoveryConnection {
     async fn open(address: SocketAddr) -> Result<DiscoveryConnection, DiscoveryError> {
-        let stream = TcpStream::connect(address).await.map_err(DiscoveryError::Connect)?;
-        let _ = stream.set_nodelay(true);
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(DiscoveryError::Handshake)?;
+        let socket = sockets::connect(address).await.map_err(DiscoveryError::Connect)?;
+        let (sender, connection) = http1::handshake(socket).await.map_err(DiscoveryError::Handshake)?;
         let driver = spawn_local(async move {
             let _ = connection.await;
         });
--- a/crates/proxy/src/downstream/client_stream.rs
+++ b/crates/proxy/src/downstream/client_stream.rs
@@ -1,19 +1,16 @@
 //! A client's socket, with what has been read of it and not yet passed on to hyper.
 
 use std::cell::RefCell;
-use std::io::{self, Read as _};
-use std::mem::MaybeUninit;
-use std::pin::{Pin, pin};
+use std::io;
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker, ready};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use hyper::rt::ReadBufCursor;
-use socket2::SockRef;
-use tokio::io::{AsyncRead, Interest, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::sockets::Socket;
+
 /// Most that is read ahead and kept; also the longest head.
 pub(super) const MAX_BUFFERED: usize = 16 * 1024;
 /// Most that one call reads.
@@ -26,7 +23,7 @@
 /// A client's socket and its read-ahead buffer. It is used from both sides of hyper: hyper reads requests through
 /// the framer, and the connection's task checks whether the client is still there.
 pub struct ClientStream {
-    socket: TcpStream,
+    socket: Socket,
     buffered: Vec<u8>,
     /// The end of the client's sending was read: nobody waits for an answer.
     ended: bool,
@@ -38,7 +35,7 @@
 
 impl ClientStream {
     /// A socket of which nothing has been read.
-    pub fn new(socket: TcpStream) -> Rc<RefCell<ClientStream>> {
+    pub fn new(socket: Socket) -> Rc<RefCell<ClientStream>> {
         let stream =
             ClientStream { socket, buffered: Vec::new(), ended: false, overflowed: false, last_seen: None };
         Rc::new(RefCell::new(stream))
@@ -50,11 +47,10 @@
             return Poll::Ready(Ok(0));
         }
         let mut chunk = [0; READ_CHUNK];
-        let mut read = ReadBuf::new(&mut chunk[..limit.min(READ_CHUNK)]);
-        ready!(Pin::new(&mut self.socket).poll_read(cx, &mut read))?;
-        self.buffered.extend_from_slice(read.filled());
-        self.ended = read.filled().is_empty();
-        Poll::Ready(Ok(read.filled().len()))
+        let read = ready!(self.socket.poll_read(cx, &mut chunk[..limit.min(READ_CHUNK)]))?;
+        self.buffered.extend_from_slice(&chunk[..read]);
+        self.ended = read == 0;
+        Poll::Ready(Ok(read))
     }
 
     /// What was read and not passed on.
@@ -132,30 +128,23 @@
     /// incomplete. Reads nothing, since that may be far too much to buffer: an end behind unread bytes is known
     /// once the runtime has looked.
     pub fn ended_early(&self) -> bool {
-        let readiness =
-            pin!(self.socket.ready(Interest::READABLE)).poll(&mut Context::from_waker(Waker::noop()));
-        let mut byte = [MaybeUninit::uninit()];
-        let peeked_end = match SockRef::from(&self.socket).peek(&mut byte) {
-            Ok(read) => read == 0,
-            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
-        };
-        let read_closed = matches!(readiness, Poll::Ready(Ok(ready)) if ready.is_read_closed());
-        self.ended || peeked_end || read_closed
+        let peeked_end = matches!(self.socket.peek_now(), Some(Ok(0) | Err(_)));
+        self.ended || peeked_end || self.socket.saw_end_of_input()
     }
 
     /// Whether something has come that was not passed on. Asks the kernel, since the runtime may not have looked:
     /// a socket that is closed with something unread takes a request with it.
     pub fn has_unread_input(&self) -> bool {
-        !self.buffered.is_empty() || has_unread_input(&self.socket)
+        !self.buffered.is_empty() || self.socket.has_unread_bytes()
     }
 
     /// The socket, for writing.
-    pub fn socket_mut(&mut self) -> &mut TcpStream {
-        &mut self.socket
+    pub fn socket(&self) -> &Socket {
+        &self.socket
     }
 
     /// The socket, when hyper is done with it.
-    pub fn into_socket(self) -> TcpStream {
+    pub fn into_socket(self) -> Socket {
         self.socket
     }
 
@@ -171,21 +160,13 @@
     /// number of bytes, 0 once the client has disconnected, or `None` if there is nothing to read.
     fn read_past_runtime(&mut self) -> Option<usize> {
         let mut chunk = [0; READ_CHUNK];
-        let read = match (&*SockRef::from(&self.socket)).read(&mut chunk) {
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                self.last_seen = Some(Instant::now());
-                return None;
-            }
-            read => read.unwrap_or(0),
+        let Some(read) = self.socket.read_now(&mut chunk) else {
+            self.last_seen = Some(Instant::now());
+            return None;
         };
+        let read = read.unwrap_or(0);
         self.buffered.extend_from_slice(&chunk[..read]);
         self.ended = read == 0;
         Some(read)
     }
 }
-
-/// Whether a socket has bytes that were not read; asks the kernel.
-pub fn has_unread_input(socket: &TcpStream) -> bool {
-    let mut byte = [MaybeUninit::uninit()];
-    SockRef::from(socket).peek(&mut byte).is_ok_and(|read| read > 0)
-}
--- a/crates/proxy/src/downstream/framer.rs
+++ b/crates/proxy/src/downstream/framer.rs
@@ -8,7 +8,6 @@
 use std::task::{Context, Poll, ready};
 
 use hyper::rt::{Read, ReadBufCursor, Write};
-use tokio::io::AsyncWrite;
 
 use crate::downstream::client_stream::{ClientStream, MAX_BUFFERED, READ_CHUNK};
 use crate::downstream::framing::{Framing, parse_request_head};
@@ -166,7 +165,7 @@
 
 impl Write for RequestFramer {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let written = Pin::new(self.stream.borrow_mut().socket_mut()).poll_write(cx, buf);
+        let written = self.stream.borrow().socket().poll_write(cx, buf);
         self.record_write(written)
     }
 
@@ -175,7 +174,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(self.stream.borrow_mut().socket_mut()).poll_write_vectored(cx, bufs);
+        let written = self.stream.borrow().socket().poll_write_vectored(cx, bufs);
         self.record_write(written)
     }
 
@@ -183,13 +182,12 @@
         true
     }
 
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(Pin::new(self.stream.borrow_mut().socket_mut()).poll_flush(cx))?;
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.progress.flushed();
         Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(self.stream.borrow_mut().socket_mut()).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(self.stream.borrow().socket().shut_down())
     }
 }
--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -2,25 +2,23 @@
 
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
-use crate::downstream::client_stream::{ClientStream, has_unread_input};
+use crate::downstream::client_stream::ClientStream;
 use crate::downstream::connection_permits::ConnectionPermit;
 use crate::downstream::progress::ConnectionProgress;
 use crate::downstream::server::{Server, UpstreamTransport};
 use crate::downstream::shutdown::UNUSED_CONNECTION_GRACE;
 use crate::lifecycle::Phase;
 use crate::log::log_line;
+use crate::sockets::{Socket, accept, accept_queued, has_unread_bytes};
 
 /// Connections that may wait to be accepted.
 pub const BACKLOG: u32 = 1024;
-/// Pause after a connection could not be accepted for want of descriptors; it stays in the queue.
-const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 
 /// Where connections come from.
 pub struct Listener {
@@ -51,14 +49,10 @@
     async fn accept_connections(self: &Rc<Self>, listener: &Listener) {
         let mut accepting_ends = pin!(self.accepting_ends(self.lifecycle.subscribe(), listener.shared));
         loop {
-            let accepted = tokio::select! {
+            let socket = tokio::select! {
                 biased;
                 () = &mut accepting_ends => break,
-                accepted = listener.socket.accept() => accepted,
-            };
-            let Ok((socket, _)) = accepted else {
-                sleep(ACCEPT_RETRY_PAUSE).await;
-                continue;
+                accepted = accept(&listener.socket) => accepted,
             };
             tokio::select! {
                 permit = self.permits.acquire() => self.start_connection(socket, permit),
@@ -97,11 +91,11 @@
     async fn drain_accept_queue(self: &Rc<Self>, listener: &std::net::TcpListener) {
         // What comes later than this many has come after the end.
         for _ in 0..=BACKLOG {
-            let Ok((socket, _)) = listener.accept() else { return };
+            let Some(socket) = accept_queued(listener).await else { return };
             let Ok(socket) = socket.set_nonblocking(true).and_then(|()| TcpStream::from_std(socket)) else {
                 continue;
             };
-            if self.permits.has_ample_room() || has_unread_input(&socket) {
+            if self.permits.has_ample_room() || has_unread_bytes(&socket) {
                 let permit = self.permits.acquire_queued().await;
                 self.start_connection(socket, permit);
             }
@@ -110,8 +104,7 @@
 
     /// Starts to serve a connection that has a permit.
     fn start_connection(self: &Rc<Self>, socket: TcpStream, permit: ConnectionPermit) {
-        let _ = socket.set_nodelay(true);
-        let stream = ClientStream::new(socket);
+        let stream = ClientStream::new(Socket::new(socket));
         let progress = ConnectionProgress::new(self.idle_connections.clone(), &stream);
         let task = spawn_local(self.clone().serve_connection(stream, permit, progress.clone()));
         progress.set_task(task.abort_handle());
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod log;
 mod process;
+mod sockets;
 mod upstream;
 
 pub use config::ConfigError;
--- /dev/null
+++ b/crates/proxy/src/sockets/socket.rs
@@ -0,0 +1,185 @@
+//! A connected TCP socket.
+
+use std::future::poll_fn;
+use std::io::{self, IoSlice, Read as _};
+use std::mem::MaybeUninit;
+use std::net::Shutdown;
+use std::pin::{Pin, pin};
+use std::task::{Context, Poll, Waker, ready};
+
+use hyper::rt::{Read, ReadBufCursor, Write};
+use socket2::SockRef;
+use tokio::io::Interest;
+use tokio::net::TcpStream;
+
+/// Most that one call reads for hyper.
+const READ_CHUNK: usize = 8 * 1024;
+/// How often a call is repeated that a signal has interrupted each time.
+const MAX_INTERRUPTIONS: u32 = 1000;
+
+/// A connected TCP socket. A read or write goes on until the kernel says that the socket is empty or full: the runtime's
+/// own calls take any short transfer for that, and then wait for an event that may never come.
+pub struct Socket {
+    stream: TcpStream,
+}
+
+impl Socket {
+    /// A connected socket. What is written is sent at once: nothing may be lost with a close that follows.
+    pub fn new(stream: TcpStream) -> Socket {
+        // Without it an answer is merely later.
+        let _ = stream.set_nodelay(true);
+        Socket { stream }
+    }
+
+    /// Reads into `buffer`; ready with the number of bytes, 0 at the end of input.
+    pub fn poll_read(&self, cx: &mut Context<'_>, buffer: &mut [u8]) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            if let Some(read) = unless_blocked(|| self.stream.try_read(buffer)) {
+                return Poll::Ready(read);
+            }
+        }
+    }
+
+    /// Writes from `buffer`; ready with the number of bytes.
+    pub fn poll_write(&self, cx: &mut Context<'_>, buffer: &[u8]) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            if let Some(written) = unless_blocked(|| self.stream.try_write(buffer)) {
+                return Poll::Ready(written);
+            }
+        }
+    }
+
+    /// Writes from several buffers; ready with the number of bytes.
+    pub fn poll_write_vectored(
+        &self,
+        cx: &mut Context<'_>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            if let Some(written) = unless_blocked(|| self.stream.try_write_vectored(buffers)) {
+                return Poll::Ready(written);
+            }
+        }
+    }
+
+    /// Ends the sending direction.
+    ///
+    /// # Errors
+    /// Those of the operating system, but that the connection has ended.
+    pub fn shut_down(&self) -> io::Result<()> {
+        match SockRef::from(&self.stream).shutdown(Shutdown::Write) {
+            Err(error) if error.kind() == io::ErrorKind::NotConnected => Ok(()),
+            result => result,
+        }
+    }
+
+    /// Writes all of `bytes`.
+    ///
+    /// # Errors
+    /// Those of the operating system.
+    pub async fn write_all(&self, mut bytes: &[u8]) -> io::Result<()> {
+        while !bytes.is_empty() {
+            let written = poll_fn(|cx| self.poll_write(cx, bytes)).await?;
+            bytes = &bytes[written..];
+        }
+        Ok(())
+    }
+
+    /// Reads into `buffer`; returns the number of bytes, 0 at the end of input.
+    ///
+    /// # Errors
+    /// Those of the operating system.
+    pub async fn read(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        poll_fn(|cx| self.poll_read(cx, buffer)).await
+    }
+
+    /// Reads what the kernel has, whether or not the runtime knows of it; `None` if there is nothing.
+    pub fn read_now(&self, buffer: &mut [u8]) -> Option<io::Result<usize>> {
+        unless_blocked(|| (&*SockRef::from(&self.stream)).read(buffer))
+    }
+
+    /// Asks the kernel for the next byte and leaves it where it is: the number of bytes, 0 at the end of input; `None`
+    /// if there is nothing.
+    pub fn peek_now(&self) -> Option<io::Result<usize>> {
+        peek(&self.stream)
+    }
+
+    /// Whether the kernel has bytes that were not read.
+    pub fn has_unread_bytes(&self) -> bool {
+        has_unread_bytes(&self.stream)
+    }
+
+    /// Whether the runtime has seen the end of input, which may stand behind bytes that were not read.
+    pub fn saw_end_of_input(&self) -> bool {
+        let readiness = pin!(self.stream.ready(Interest::READABLE));
+        let polled = readiness.poll(&mut Context::from_waker(Waker::noop()));
+        matches!(polled, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+    }
+}
+
+/// Whether a socket has bytes that were not read; asks the kernel.
+pub fn has_unread_bytes(stream: &TcpStream) -> bool {
+    matches!(peek(stream), Some(Ok(1..)))
+}
+
+fn peek(stream: &TcpStream) -> Option<io::Result<usize>> {
+    let mut byte = [MaybeUninit::uninit()];
+    unless_blocked(|| SockRef::from(stream).peek(&mut byte))
+}
+
+/// The result of a call on a socket, repeated where a signal interrupted it; `None` if the socket was empty or full.
+fn unless_blocked(mut call: impl FnMut() -> io::Result<usize>) -> Option<io::Result<usize>> {
+    let mut interruptions = 0;
+    loop {
+        match call() {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return None,
+            Err(error) if error.kind() == io::ErrorKind::Interrupted && interruptions < MAX_INTERRUPTIONS => {
+                interruptions += 1;
+            }
+            result => return Some(result),
+        }
+    }
+}
+
+impl Read for Socket {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut target: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut chunk = [0; READ_CHUNK];
+        let limit = target.remaining().min(READ_CHUNK);
+        let read = ready!(Socket::poll_read(&self, cx, &mut chunk[..limit]))?;
+        target.put_slice(&chunk[..read]);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Write for Socket {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buffer: &[u8]) -> Poll<io::Result<usize>> {
+        Socket::poll_write(&self, cx, buffer)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Socket::poll_write_vectored(&self, cx, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(self.shut_down())
+    }
+}
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
@@ -10,11 +9,9 @@
 
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::rt::{Read, ReadBufCursor, Write};
-use hyper_util::rt::TokioIo;
-use socket2::SockRef;
-use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
 
+use crate::sockets::Socket;
 use crate::upstream::request_body_stream::OutgoingBody;
 
 /// Bytes that hyper may buffer of what it reads or writes on one connection. It bounds the memory of a connection
@@ -45,8 +42,8 @@
 pub type FirstByteCheck = Box<dyn FnOnce() -> bool>;
 
 /// The socket as hyper's connection owns it. It can be examined from outside, and it counts what is written.
-struct Socket {
-    stream: Rc<RefCell<TokioIo<TcpStream>>>,
+struct WatchedSocket {
+    stream: Rc<RefCell<Socket>>,
     written: Rc<Cell<u64>>,
     first_byte_check: Rc<Cell<Option<FirstByteCheck>>>,
     /// The check has forbidden the request: nothing more is written.
@@ -54,7 +51,7 @@
     _slot: ConnectionSlot,
 }
 
-impl Socket {
+impl WatchedSocket {
     fn check_before_write(&self) -> io::Result<()> {
         if self.first_byte_check.take().is_some_and(|may_be_written| !may_be_written()) {
             self.write_closed.set(true);
@@ -69,20 +66,20 @@
     }
 }
 
-impl Read for Socket {
+impl Read for WatchedSocket {
     fn poll_read(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.stream.borrow_mut()).poll_read(context, buffer)
+        hyper::rt::Read::poll_read(Pin::new(&mut *self.stream.borrow_mut()), context, buffer)
     }
 }
 
-impl Write for Socket {
+impl Write for WatchedSocket {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &[u8]) -> Poll<io::Result<usize>> {
         self.check_before_write()?;
-        let result = Pin::new(&mut *self.stream.borrow_mut()).poll_write(context, buffer);
+        let result = self.stream.borrow().poll_write(context, buffer);
         self.count_written(&result);
         result
     }
@@ -93,7 +90,7 @@
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.check_before_write()?;
-        let result = Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(context, buffers);
+        let result = self.stream.borrow().poll_write_vectored(context, buffers);
         self.count_written(&result);
         result
     }
@@ -116,7 +113,7 @@
     /// Takes the next request.
     pub sender: SendRequest<OutgoingBody>,
     driver: AbortHandle,
-    stream: Weak<RefCell<TokioIo<TcpStream>>>,
+    stream: Weak<RefCell<Socket>>,
     written: Rc<Cell<u64>>,
     first_byte_check: Rc<Cell<Option<FirstByteCheck>>>,
     address: SocketAddr,
@@ -129,14 +126,14 @@
     ///
     /// Hyper's, if it does not take the socket.
     pub async fn handshake(
-        stream: TcpStream,
+        stream: Socket,
         address: SocketAddr,
         slot: ConnectionSlot,
     ) -> Result<UpstreamConnection, hyper::Error> {
-        let stream = Rc::new(RefCell::new(TokioIo::new(stream)));
+        let stream = Rc::new(RefCell::new(stream));
         let written = Rc::new(Cell::new(0));
         let first_byte_check = Rc::new(Cell::new(None));
-        let socket = Socket {
+        let socket = WatchedSocket {
             stream: stream.clone(),
             written: written.clone(),
             first_byte_check: first_byte_check.clone(),
@@ -186,10 +183,8 @@
     /// connection would end as a reset.
     pub fn is_reusable(&self) -> bool {
         let Some(stream) = self.stream.upgrade() else { return false };
-        let mut byte = [MaybeUninit::uninit()];
-        let stream = stream.borrow();
-        let peeked = SockRef::from(stream.inner()).peek(&mut byte);
-        !self.sender.is_closed() && peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+        let peeked = stream.borrow().peek_now();
+        !self.sender.is_closed() && peeked.is_none()
     }
 }
 
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -2,18 +2,17 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until, timeout};
 use zincstand_policy as policy;
 use zincstand_policy::{Micros, Outcome, ServerId};
 
 use crate::discovery::endpoint::Target;
+use crate::sockets::{self, is_out_of_resources};
 use crate::upstream::connection::{ConnectionSlot, UpstreamConnection};
 
 /// The part of the upstreams' own idle timeout after which an idle connection is closed here, early enough that a
@@ -29,15 +28,6 @@
 /// How long a connection may take to be ready for the next request after its response was read.
 const READY_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The process may open no more files (EMFILE).
-const TOO_MANY_OPEN_FILES: i32 = 24;
-/// The machine may open no more files (ENFILE).
-const FILE_TABLE_FULL: i32 = 23;
-/// The kernel has no buffer left (ENOBUFS).
-const NO_BUFFER_SPACE: i32 = 105;
-/// All local ports are in use (EADDRNOTAVAIL).
-const NO_LOCAL_PORT: i32 = 99;
-
 /// Why there is no connection for a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum ConnectError {
@@ -202,15 +192,14 @@
     pub async fn connect(&self, address: SocketAddr) -> Result<UpstreamConnection, ConnectError> {
         self.make_room().await?;
         let slot = ConnectionSlot::take(&self.open_connections);
-        let stream = match timeout(self.connect_timeout, TcpStream::connect(address)).await {
+        let stream = match timeout(self.connect_timeout, sockets::connect(address)).await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(error)) if is_out_of_sockets(&error) => {
+            Ok(Err(error)) if is_out_of_resources(&error) => {
                 self.close_oldest();
                 return Err(ConnectError::NoCapacity);
             }
             Ok(Err(_)) | Err(_) => return Err(ConnectError::Failed),
         };
-        let _ = stream.set_nodelay(true);
         UpstreamConnection::handshake(stream, address, slot).await.map_err(|_| ConnectError::Failed)
     }
 
@@ -253,11 +242,3 @@
 fn duration_or(micros: Micros, default: Duration) -> Duration {
     if micros == 0 { default } else { Duration::from_micros(micros) }
 }
-
-/// Whether the process or the machine has no descriptor, port or buffer left, which is no fault of the upstream.
-fn is_out_of_sockets(error: &io::Error) -> bool {
-    matches!(
-        error.raw_os_error(),
-        Some(TOO_MANY_OPEN_FILES | FILE_TABLE_FULL | NO_BUFFER_SPACE | NO_LOCAL_PORT)
-    )
-}
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -13,6 +13,7 @@
 
 use super::*;
 use crate::downstream::{ClientStream, ConnectionProgress};
+use crate::sockets::Socket;
 use crate::upstream::client_connection::ClientConnection;
 use crate::upstream::pool::ConnectError;
 use crate::upstream::response::parse_load_report;
@@ -182,7 +183,8 @@
 async fn waiting_client() -> WaitingClient {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let socket = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("it listens");
-    let stream = ClientStream::new(listener.accept().await.expect("a connection").0);
+    let accepted = listener.accept().await.expect("a connection").0;
+    let stream = ClientStream::new(Socket::new(accepted));
     let connection = ConnectionProgress::new(Rc::default(), &stream);
     connection.request_complete();
     let client: Weak<dyn ClientConnection> = Rc::<ConnectionProgress>::downgrade(&connection);
--- a/crates/proxy/tests/system_calls.rs
+++ b/crates/proxy/tests/system_calls.rs
@@ -28,6 +28,21 @@
     (0..requests).map(ask).filter(|status| *status != 200).collect()
 }
 
+/// Sends so many requests one after the other on one connection and returns the number that were served.
+fn served_in_turn(balancer: &Balancer, requests: u32) -> u32 {
+    let mut client = balancer.connect();
+    let mut served = 0;
+    for id in 0..requests {
+        let sent = client.write_all(request("pull", &format!("t-{id}"), "").as_bytes());
+        match sent.ok().and_then(|()| read(&mut client)) {
+            Some(answer) if answer.status() == 200 => served += 1,
+            Some(_) => {}
+            None => client = balancer.connect(),
+        }
+    }
+    served
+}
+
 #[test]
 fn failed_accepts_at_a_stop_cost_no_request() {
     for error in ["ECONNABORTED", "EINTR", "ENFILE", "EMFILE", "ENOBUFS"] {
@@ -57,6 +72,24 @@
     assert!(start.elapsed() < Duration::from_secs(2), "{:?}", start.elapsed());
 }
 
+#[test]
+fn interrupted_calls_end_no_request() {
+    let (address, _requests) = upstream();
+    let faults = "recv:EINTR/3,peek:EINTR/2,send:EINTR/3,connect:EINTR/2,epoll_wait:EINTR/5,accept4:EINTR/3";
+    let balancer = Setup { faults, ..Setup::knowing(&[address]) }.start();
+    assert_eq!(failures(balancer.address, 200), []);
+    assert_eq!(served_in_turn(&balancer, 200), 200);
+}
+
+#[test]
+fn short_reads_and_writes_end_no_request() {
+    let (address, _requests) = upstream();
+    let faults = "recv:short=7,send:short=11";
+    let balancer = Setup { faults, deadline_ms: 5000, ..Setup::knowing(&[address]) }.start();
+    assert_eq!(failures(balancer.address, 30), []);
+    assert_eq!(served_in_turn(&balancer, 30), 30);
+}
+
 #[test]
 fn a_log_that_cannot_be_written_ends_nothing() {
     let (address, _requests) = upstream();
