--- a/crates/proxy/tests/common/setup.rs
+++ b/crates/proxy/tests/common/setup.rs
@@ -155,11 +155,13 @@
             return Balancer { child, address, management: None, log: channel().1, file };
         }
         let mut log = BufReader::new(child.stderr.take().expect("a pipe"));
-        let mut address = || {
+        // Other lines may come before the one that tells an address.
+        let mut address = || loop {
             let mut line = String::new();
-            log.read_line(&mut line).expect("a line");
-            let address = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
-            address.unwrap_or_else(|| panic!("no address in {line:?}"))
+            assert_ne!(log.read_line(&mut line).expect("a line"), 0, "no address in the log");
+            if let Some(address) = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok()) {
+                return address;
+            }
         };
         let (address, management) = (address(), self.management.map(|_| address()));
         let (sender, lines) = channel();
