Count a request's time from its last byte, and wake the reader for the next one

Cause: a request's time began when it was parsed, however long it had waited in the read buffer or its connection for a permit; and when an answer had gone, nothing woke the reader of a connection that held the next request, so that it was first looked at when the idle timer ended. Change: the read-ahead buffer keeps when its bytes came (ArrivalTimes; for a connection that waited, when it was accepted), the validator takes the wait off the time left, and the flush of an answer wakes the reader where bytes are held.

--- /dev/null
+++ b/crates/proxy/src/downstream/arrival_times/tests.rs
@@ -0,0 +1,20 @@
+use super::*;
+
+#[test]
+fn each_byte_keeps_the_time_at_which_it_came() {
+    let start = Instant::now();
+    let later = start + 2 * RESOLUTION;
+    let mut times = ArrivalTimes::default();
+    times.append(10, start);
+    times.append(5, start + RESOLUTION / 2);
+    times.append(10, later);
+    assert_eq!(times.last_removed(), None);
+    times.remove(15);
+    assert_eq!(times.last_removed(), Some(start));
+    times.remove(1);
+    assert_eq!(times.last_removed(), Some(later));
+    times.truncate(9);
+    times.append(1, later + 2 * RESOLUTION);
+    times.remove(1);
+    assert_eq!(times.last_removed(), Some(later + 2 * RESOLUTION));
+}
--- a/crates/proxy/src/downstream/client_stream.rs
+++ b/crates/proxy/src/downstream/client_stream.rs
@@ -9,6 +9,7 @@
 use hyper::rt::ReadBufCursor;
 use tokio::time::Instant;
 
+use crate::downstream::arrival_times::ArrivalTimes;
 use crate::sockets::Socket;
 
 /// Most that is read ahead and kept; also the longest head.
@@ -25,6 +26,9 @@
 pub struct ClientStream {
     socket: Socket,
     buffered: Vec<u8>,
+    arrival_times: ArrivalTimes,
+    /// Since when the next bytes may have waited to be read; none once the socket was seen empty.
+    unread_since: Option<Instant>,
     /// The end of the client's sending was read: nobody waits for an answer.
     ended: bool,
     /// So much came behind an open request that some of it was dropped: nothing behind it is a request any more.
@@ -34,11 +38,17 @@
 }
 
 impl ClientStream {
-    /// A socket of which nothing has been read.
-    pub fn new(socket: Socket) -> Rc<RefCell<ClientStream>> {
-        let stream =
-            ClientStream { socket, buffered: Vec::new(), ended: false, overflowed: false, last_seen: None };
-        Rc::new(RefCell::new(stream))
+    /// A socket of which nothing has been read. What has come on it may have waited since `accepted_at`.
+    pub fn new(socket: Socket, accepted_at: Instant) -> Rc<RefCell<ClientStream>> {
+        Rc::new(RefCell::new(ClientStream {
+            socket,
+            buffered: Vec::new(),
+            arrival_times: ArrivalTimes::default(),
+            unread_since: Some(accepted_at),
+            ended: false,
+            overflowed: false,
+            last_seen: None,
+        }))
     }
 
     /// Reads more into the buffer, at most `limit` bytes; ready with their number, 0 at the end of input.
@@ -47,9 +57,12 @@
             return Poll::Ready(Ok(0));
         }
         let mut chunk = [0; READ_CHUNK];
-        let read = ready!(self.socket.poll_read(cx, &mut chunk[..limit.min(READ_CHUNK)]))?;
-        self.buffered.extend_from_slice(&chunk[..read]);
-        self.ended = read == 0;
+        let Poll::Ready(result) = self.socket.poll_read(cx, &mut chunk[..limit.min(READ_CHUNK)]) else {
+            self.unread_since = None;
+            return Poll::Pending;
+        };
+        let read = result?;
+        self.append(&chunk[..read]);
         Poll::Ready(Ok(read))
     }
 
@@ -60,15 +73,22 @@
 
     /// Drops what was read and not passed on.
     pub fn clear_buffered(&mut self) {
+        self.arrival_times.remove(self.buffered.len());
         self.buffered = Vec::new();
     }
 
+    /// When the last byte came that was passed on; for a request that has come completely, its own last byte.
+    pub fn last_passed_at(&self) -> Option<Instant> {
+        self.arrival_times.last_removed()
+    }
+
     /// Passes on at most `limit` bytes of the buffer; returns their number. An empty buffer holds no memory.
     pub fn pass(&mut self, target: &mut ReadBufCursor<'_>, limit: u64) -> u64 {
         let limit = usize::try_from(limit).unwrap_or(usize::MAX);
         let passed = self.buffered.len().min(target.remaining()).min(limit);
         target.put_slice(&self.buffered[..passed]);
         self.buffered.drain(..passed);
+        self.arrival_times.remove(passed);
         if self.buffered.is_empty() {
             self.clear_buffered();
         }
@@ -152,7 +172,9 @@
     fn drop_overflow(&mut self) {
         if self.buffered.len() >= MAX_BUFFERED {
             self.overflowed = true;
-            self.buffered.truncate(MAX_BUFFERED - READ_CHUNK);
+            let kept = MAX_BUFFERED - READ_CHUNK;
+            self.arrival_times.truncate(self.buffered.len() - kept);
+            self.buffered.truncate(kept);
         }
     }
 
@@ -162,11 +184,19 @@
         let mut chunk = [0; READ_CHUNK];
         let Some(read) = self.socket.read_now(&mut chunk) else {
             self.last_seen = Some(Instant::now());
+            self.unread_since = None;
             return None;
         };
         let read = read.unwrap_or(0);
-        self.buffered.extend_from_slice(&chunk[..read]);
-        self.ended = read == 0;
+        self.append(&chunk[..read]);
         Some(read)
     }
+
+    /// Appends what was read to the buffer; nothing read is the end of input.
+    fn append(&mut self, bytes: &[u8]) {
+        let came_at = self.unread_since.unwrap_or_else(Instant::now);
+        self.arrival_times.append(bytes.len(), came_at);
+        self.buffered.extend_from_slice(bytes);
+        self.ended = bytes.is_empty();
+    }
 }
--- a/crates/proxy/src/downstream/framer.rs
+++ b/crates/proxy/src/downstream/framer.rs
@@ -182,8 +182,11 @@
         true
     }
 
-    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.progress.flushed();
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.progress.flushed() && self.buffered_bytes() > 0 {
+            // The next request is here already: nothing else would wake the reader for it.
+            cx.waker().wake_by_ref();
+        }
         Poll::Ready(Ok(()))
     }
 
--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -2,6 +2,7 @@
 
 use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -19,6 +20,8 @@
 
 /// Connections that may wait to be accepted.
 pub const BACKLOG: u32 = 1024;
+/// A connection that is accepted within this time was in the queue already.
+const QUEUED_ACCEPT_TIME: Duration = Duration::from_millis(1);
 
 /// Where connections come from.
 pub struct Listener {
@@ -48,17 +51,24 @@
     /// Accepts connections until that is to end.
     async fn accept_connections(self: &Rc<Self>, listener: &Listener) {
         let mut accepting_ends = pin!(self.accepting_ends(self.lifecycle.subscribe(), listener.shared));
+        let mut last_wait_began = Instant::now();
         loop {
+            let accepting_since = Instant::now();
             let socket = tokio::select! {
                 biased;
                 () = &mut accepting_ends => break,
                 accepted = accept(&listener.socket) => accepted,
             };
+            // One that was there at once may have waited while the one before it waited for its permit.
+            let was_queued = accepting_since.elapsed() < QUEUED_ACCEPT_TIME;
+            let accepted_at = if was_queued { last_wait_began } else { Instant::now() };
+            last_wait_began = Instant::now();
             tokio::select! {
-                permit = self.permits.acquire() => self.start_connection(socket, permit),
+                permit = self.permits.acquire() => self.start_connection(socket, accepted_at, permit),
                 // What was accepted is this process's to serve, even if the order to stop comes now.
                 () = &mut accepting_ends => {
-                    self.start_connection(socket, self.permits.acquire_at_end(listener.shared));
+                    let permit = self.permits.acquire_at_end(listener.shared);
+                    self.start_connection(socket, accepted_at, permit);
                     break;
                 }
             }
@@ -96,15 +106,16 @@
                 continue;
             };
             if self.permits.has_ample_room() || has_unread_bytes(&socket) {
+                let accepted_at = Instant::now();
                 let permit = self.permits.acquire_queued().await;
-                self.start_connection(socket, permit);
+                self.start_connection(socket, accepted_at, permit);
             }
         }
     }
 
     /// Starts to serve a connection that has a permit.
-    fn start_connection(self: &Rc<Self>, socket: TcpStream, permit: ConnectionPermit) {
-        let stream = ClientStream::new(Socket::new(socket));
+    fn start_connection(self: &Rc<Self>, socket: TcpStream, accepted_at: Instant, permit: ConnectionPermit) {
+        let stream = ClientStream::new(Socket::new(socket), accepted_at);
         let progress = ConnectionProgress::new(self.idle_connections.clone(), &stream);
         let task = spawn_local(self.clone().serve_connection(stream, permit, progress.clone()));
         progress.set_task(task.abort_handle());
--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -1,5 +1,6 @@
 //! The clients' side: the listener, client connections, their requests and the final answers.
 
+mod arrival_times;
 mod body_pace;
 mod client_connection;
 mod client_stream;
--- a/crates/proxy/src/downstream/progress.rs
+++ b/crates/proxy/src/downstream/progress.rs
@@ -138,13 +138,22 @@
         self.enter(RequestStage::Open);
     }
 
-    /// Everything that was to be written has been.
-    pub fn flushed(&self) {
+    /// Everything that was to be written has been. Returns whether the connection has become idle by that.
+    pub fn flushed(&self) -> bool {
         self.write_blocked_since.set(None);
-        if self.answered.replace(false) {
+        let is_idle = self.answered.replace(false);
+        if is_idle {
             self.first_request_deadline.set(None);
             self.enter(RequestStage::Idle);
         }
+        is_idle
+    }
+
+    /// How long ago the last byte of the present request came, which has come completely.
+    pub fn request_age(&self) -> Duration {
+        let stream = self.stream.upgrade();
+        let last_byte = stream.and_then(|stream| stream.borrow().last_passed_at());
+        last_byte.map_or(Duration::ZERO, |at| at.elapsed())
     }
 
     /// The socket has taken nothing of what was to be written.
--- a/crates/proxy/src/downstream/request_validation.rs
+++ b/crates/proxy/src/downstream/request_validation.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::rc::{Rc, Weak};
+use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
@@ -110,6 +111,9 @@
         // A request that names the whole address is for this path all the same.
         let path = head.uri.path_and_query().cloned().ok_or(RequestError::bad_request("no path"))?;
         let body_pending = matches!(body, RequestBody::Streamed(_));
+        // A request that waited behind another, or for a permit, has used a part of its time.
+        let waited = if body_pending { Duration::ZERO } else { progress.request_age() };
+        let time_left = time_left.saturating_sub(waited.as_micros() as Micros);
         let client: Weak<dyn ClientConnection> = Rc::<ConnectionProgress>::downgrade(progress);
         let upstream_request =
             UpstreamRequest { method: head.method, uri: path.into(), headers, body, client: Some(client) };
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -184,7 +184,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let socket = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("it listens");
     let accepted = listener.accept().await.expect("a connection").0;
-    let stream = ClientStream::new(Socket::new(accepted));
+    let stream = ClientStream::new(Socket::new(accepted), tokio::time::Instant::now());
     let connection = ConnectionProgress::new(Rc::default(), &stream);
     connection.request_complete();
     let client: Weak<dyn ClientConnection> = Rc::<ConnectionProgress>::downgrade(&connection);
--- a/crates/proxy/tests/pipelined.rs
+++ b/crates/proxy/tests/pipelined.rs
@@ -65,6 +65,14 @@
     assert_eq!(read(&mut client).expect("an answer").status(), 200);
 }
 
+#[test]
+fn a_request_whose_time_ran_out_behind_another_is_answered_and_not_forwarded() {
+    let (_balancer, upstream, mut client) = behind_another(300, Duration::from_millis(600));
+    let answered = read(&mut client).expect("an answer").status();
+    assert!([503, 504].contains(&answered), "{answered}");
+    assert!(upstream.quiet());
+}
+
 #[test]
 fn a_request_that_waited_for_a_permit_tells_its_upstream_what_its_client_has_left() {
     let upstream = Peer::new();
