Store an operator's order durably, and wait for files and locks off the serving thread

Cause: an order waited in a blocking lock on the only thread, so that a process stopped with the lock silenced every client; half a file counted as no orders at all, so that a confirmed evacuation was forgotten at the next start; a file that could not be read once was marked as read and never read again; nothing was synced before the yes; two processes wrote one temporary file. A file that cannot be read is read again at each event, and its copy stands in. The main file keeps name and form, and older versions read it. Replaced: a_truncated_file_changes_nothing held that a new process forgets the orders, which was the fault; it now holds that the copy stands in, and that a damaged copy does not.

--- a/crates/proxy/src/admin/response.rs
+++ b/crates/proxy/src/admin/response.rs
@@ -1,13 +1,12 @@
 //! The answers to operators: one line of plain text each.
 
-use std::io;
-
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{ALLOW, CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
 
 use crate::admin::call::RequestError;
+use crate::lifecycle::overrides::OverrideError;
 
 /// An answer as it goes to the HTTP library.
 pub(super) type TextResponse = Response<Full<Bytes>>;
@@ -66,7 +65,7 @@
 }
 
 /// The answer to a call whose override could not be saved, so that it is not in force.
-pub(super) fn not_saved(error: &io::Error) -> TextResponse {
+pub(super) fn not_saved(error: &OverrideError) -> TextResponse {
     text_response(StatusCode::INTERNAL_SERVER_ERROR, &format!("not kept: {error}"))
 }
 
--- a/crates/proxy/src/admin/server.rs
+++ b/crates/proxy/src/admin/server.rs
@@ -3,7 +3,6 @@
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::convert::Infallible;
-use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,6 +19,7 @@
 use crate::admin::response::{self, CallResult, TextResponse};
 use crate::dispatch::{Dispatcher, Transport};
 use crate::lifecycle::Lifecycle;
+use crate::lifecycle::overrides::OverrideError;
 use crate::log::log_line;
 use crate::sockets::{Socket, accept};
 
@@ -89,7 +89,7 @@
             Ok(call) => call,
             Err(error) => return response::request_error(&error),
         };
-        match self.execute(call) {
+        match self.execute(call).await {
             Ok(result) => result.into_response(),
             Err(error) => {
                 log_line!("admin: operator override not saved: {error}");
@@ -99,18 +99,18 @@
     }
 
     /// Executes a call. What it asks for is in force when this returns.
-    fn execute(&self, call: AdminCall) -> io::Result<CallResult> {
+    async fn execute(&self, call: AdminCall) -> Result<CallResult, OverrideError> {
         match call {
             AdminCall::Ready if self.is_ready() => Ok(CallResult::Ready),
             AdminCall::Ready => Ok(CallResult::NotReady),
-            AdminCall::Exclude(upstream) => self.exclude(upstream),
-            AdminCall::Include(upstream) => self.include(upstream),
+            AdminCall::Exclude(upstream) => self.exclude(upstream).await,
+            AdminCall::Include(upstream) => self.include(upstream).await,
             AdminCall::Evacuate => {
-                self.lifecycle.set_evacuated(true)?;
+                self.lifecycle.set_evacuated(true).await?;
                 Ok(CallResult::Evacuated)
             }
             AdminCall::Rejoin => {
-                self.lifecycle.set_evacuated(false)?;
+                self.lifecycle.set_evacuated(false).await?;
                 Ok(CallResult::Rejoined)
             }
         }
@@ -120,16 +120,16 @@
         self.lifecycle.accepts_connections() && self.lifecycle.may_serve(self.dispatcher.has_endpoint_list())
     }
 
-    fn exclude(&self, upstream: String) -> io::Result<CallResult> {
-        if !self.dispatcher.exclude(&upstream)? {
+    async fn exclude(&self, upstream: String) -> Result<CallResult, OverrideError> {
+        if !self.dispatcher.exclude(&upstream).await? {
             return Ok(CallResult::UnknownUpstream { upstream });
         }
         log_line!("admin: upstream {upstream} excluded by operator");
         Ok(CallResult::Excluded { upstream })
     }
 
-    fn include(&self, upstream: String) -> io::Result<CallResult> {
-        if !self.dispatcher.include(&upstream)? {
+    async fn include(&self, upstream: String) -> Result<CallResult, OverrideError> {
+        if !self.dispatcher.include(&upstream).await? {
             return Ok(CallResult::UnknownUpstream { upstream });
         }
         log_line!("admin: upstream {upstream} included by operator");
--- a/crates/proxy/src/dispatch/endpoints.rs
+++ b/crates/proxy/src/dispatch/endpoints.rs
@@ -1,6 +1,5 @@
 //! Changes to the endpoints: lists from discovery and the operators' overrides.
 
-use std::io;
 use std::rc::Rc;
 
 use zincstand_policy::{Event, ListKind, Micros, Outcome};
@@ -8,7 +7,7 @@
 use crate::discovery::endpoint::Endpoint;
 use crate::dispatch::dispatcher::Dispatcher;
 use crate::dispatch::transport::Transport;
-use crate::lifecycle::overrides::OperatorOverrides;
+use crate::lifecycle::overrides::{OperatorOverrides, OverrideError};
 
 impl<T: Transport> Dispatcher<T> {
     /// Excludes an upstream until [`include`](Self::include), whatever discovery says. Returns false if no upstream
@@ -16,29 +15,31 @@
     ///
     /// # Errors
     /// The file of overrides cannot be written.
-    pub fn exclude(self: &Rc<Self>, name: &str) -> io::Result<bool> {
-        self.change_overrides(name, |overrides, _| overrides.exclude(name))
+    pub async fn exclude(self: &Rc<Self>, name: &str) -> Result<bool, OverrideError> {
+        let excluded = name.to_owned();
+        self.change_overrides(name, move |overrides, _| overrides.exclude(&excluded)).await
     }
 
     /// Includes an upstream again; it counts as just started. Returns false if no upstream has that name.
     ///
     /// # Errors
     /// The file of overrides cannot be written.
-    pub fn include(self: &Rc<Self>, name: &str) -> io::Result<bool> {
-        self.change_overrides(name, |overrides, now| overrides.include(name, now))
+    pub async fn include(self: &Rc<Self>, name: &str) -> Result<bool, OverrideError> {
+        let included = name.to_owned();
+        self.change_overrides(name, move |overrides, now| overrides.include(&included, now)).await
     }
 
-    fn change_overrides(
+    async fn change_overrides(
         self: &Rc<Self>,
         name: &str,
-        change: impl FnOnce(&mut OperatorOverrides, Micros),
-    ) -> io::Result<bool> {
+        change: impl FnOnce(&mut OperatorOverrides, Micros) + Send + 'static,
+    ) -> Result<bool, OverrideError> {
         self.apply_overrides();
         if !self.registry.borrow().knows_instance(name) {
             return Ok(false);
         }
         let now = self.clock.now();
-        self.overrides.change(|overrides| change(overrides, now))?;
+        self.overrides.change(move |overrides| change(overrides, now)).await?;
         self.apply_overrides();
         Ok(true)
     }
--- a/crates/proxy/src/lifecycle/overrides/mod.rs
+++ b/crates/proxy/src/lifecycle/overrides/mod.rs
@@ -3,9 +3,11 @@
 
 mod file_version;
 mod operator_overrides;
+mod override_file;
 mod override_store;
 
 pub use operator_overrides::OperatorOverrides;
+pub use override_file::OverrideError;
 pub use override_store::OverrideStore;
 
 #[cfg(test)]
--- a/crates/proxy/src/lifecycle/overrides/override_store.rs
+++ b/crates/proxy/src/lifecycle/overrides/override_store.rs
@@ -1,20 +1,17 @@
 //! The operator overrides in memory, and the file that all processes of a balancer share them in.
 
 use std::cell::{Cell, Ref, RefCell};
-use std::fs::{self, File};
+use std::fs;
 use std::io;
 use std::path::{Path, PathBuf};
 
-use crate::lifecycle::atomic_file;
+use tokio::task::spawn_blocking;
+
 use crate::lifecycle::overrides::OperatorOverrides;
 use crate::lifecycle::overrides::file_version::FileVersion;
+use crate::lifecycle::overrides::override_file::{self, OVERRIDES_FILE, OverrideError};
 use crate::log::log_line;
 
-/// The file of the overrides. It keeps its old name for processes of older versions.
-pub(super) const OVERRIDES_FILE: &str = "sloeline-orders.json";
-/// Locked by a process while it changes the overrides.
-const LOCK_FILE: &str = "sloeline-orders.lock";
-
 /// The overrides and, if there is a folder for it, the file that they are kept in.
 #[derive(Default)]
 pub struct OverrideStore {
@@ -22,12 +19,14 @@
     overrides: RefCell<OperatorOverrides>,
     /// The content of the file that was read or written last.
     file_version: Cell<Option<FileVersion>>,
+    /// The content that could not be read and was logged.
+    unreadable_version: Cell<Option<FileVersion>>,
     version: Cell<u64>,
 }
 
 impl OverrideStore {
-    /// Reads the overrides that `folder` holds. A file that cannot be read counts as one without overrides, since
-    /// serving is more important. Without a folder the overrides are kept in memory only.
+    /// Reads the overrides that `folder` holds, or where the file is not whole those last confirmed, from the second
+    /// copy. Without a folder the overrides are kept in memory only.
     pub fn open(folder: Option<&Path>) -> OverrideStore {
         let store = OverrideStore { folder: folder.map(Path::to_owned), ..OverrideStore::default() };
         store.refresh();
@@ -44,8 +43,8 @@
         self.overrides.borrow()
     }
 
-    /// Reads the file again if another process has replaced it; otherwise this costs one system call. A file that
-    /// cannot be read is logged once and ignored.
+    /// Reads the file again if another process has replaced it; otherwise this costs one system call. One that cannot be
+    /// read is logged once, and read again at each call until it can be: its order may have been confirmed.
     pub fn refresh(&self) {
         let Some(folder) = &self.folder else { return };
         let path = folder.join(OVERRIDES_FILE);
@@ -54,42 +53,45 @@
         if file_version == self.file_version.get() {
             return;
         }
-        self.file_version.set(file_version);
-        match read(&path) {
-            Ok(overrides) => self.set(overrides),
-            Err(error) => log_line!("overrides: file {} ignored: {error}", path.display()),
+        match override_file::read(folder) {
+            Ok(overrides) => {
+                self.file_version.set(file_version);
+                self.set(overrides);
+            }
+            Err(error) if self.unreadable_version.replace(file_version) != file_version => {
+                log_line!("overrides: file {} ignored: {error}", path.display());
+                if let Some(overrides) = override_file::read_copy(folder) {
+                    log_line!("overrides: those last confirmed hold, from the second copy");
+                    self.set(overrides);
+                }
+            }
+            Err(_) => {}
         }
     }
 
-    /// Changes the overrides. They hold for all processes of this balancer once this returns.
+    /// Changes the overrides. They hold for all processes of this balancer once this returns, and are stored.
     ///
     /// # Errors
-    /// The file or its lock cannot be opened or written. The overrides in memory have not changed then.
-    pub fn change(&self, change: impl FnOnce(&mut OperatorOverrides)) -> io::Result<()> {
-        let Some(folder) = &self.folder else {
-            self.set(self.changed(change));
+    /// See [`OverrideError`]. The overrides have not changed then.
+    pub async fn change(
+        &self,
+        change: impl FnOnce(&mut OperatorOverrides) + Send + 'static,
+    ) -> Result<(), OverrideError> {
+        let mut known = self.current().clone();
+        let Some(folder) = self.folder.clone() else {
+            change(&mut known);
+            self.set(known);
             return Ok(());
         };
-        // Another process may change them at the same moment. The lock ends with this scope.
-        let lock = File::create(folder.join(LOCK_FILE))?;
-        lock.lock()?;
-        self.refresh();
-        let overrides = self.changed(change);
-        let content = serde_json::to_vec(&overrides)?;
-        let file = atomic_file::replace(folder, OVERRIDES_FILE, &content)?;
-        let metadata = file.metadata()?;
-        self.file_version.set(Some(FileVersion::from(&metadata)));
+        // The files may be slow and the lock held: clients are served meanwhile.
+        let written = spawn_blocking(move || override_file::change(&folder, known, change)).await;
+        let overrides = written.map_err(io::Error::from)??;
         self.set(overrides);
+        // Another process may have changed them since.
+        self.refresh();
         Ok(())
     }
 
-    /// The present overrides after `change`, which are not in force yet.
-    fn changed(&self, change: impl FnOnce(&mut OperatorOverrides)) -> OperatorOverrides {
-        let mut overrides = self.current().clone();
-        change(&mut overrides);
-        overrides
-    }
-
     fn set(&self, overrides: OperatorOverrides) {
         if *self.current() == overrides {
             return;
@@ -98,8 +100,3 @@
         self.version.set(self.version.get() + 1);
     }
 }
-
-fn read(path: &Path) -> io::Result<OperatorOverrides> {
-    let content = fs::read(path)?;
-    Ok(serde_json::from_slice(&content)?)
-}
--- a/crates/proxy/src/lifecycle/overrides/tests.rs
+++ b/crates/proxy/src/lifecycle/overrides/tests.rs
@@ -1,9 +1,15 @@
 use std::fs;
 use std::path::Path;
 
-use super::override_store::OVERRIDES_FILE;
+use super::override_file::{COPY_FILE, OVERRIDES_FILE};
 use super::*;
 
+/// Changes the overrides of a store.
+fn change(store: &OverrideStore, change: impl FnOnce(&mut OperatorOverrides) + Send + 'static) {
+    let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
+    runtime.block_on(store.change(change)).expect("the file is written");
+}
+
 /// Runs `test` with a folder of its own.
 fn with_folder(name: &str, test: impl FnOnce(&Path)) {
     let folder = std::env::temp_dir().join(format!("zincstand-overrides-{}-{name}", std::process::id()));
@@ -17,8 +23,8 @@
     with_folder("shared", |folder| {
         let one = OverrideStore::open(Some(folder));
         let other = OverrideStore::open(Some(folder));
-        one.change(|overrides| overrides.exclude("s-1")).expect("the file is written");
-        other.change(|overrides| overrides.exclude("s-2")).expect("the file is written");
+        change(&one, |overrides| overrides.exclude("s-1"));
+        change(&other, |overrides| overrides.exclude("s-2"));
         let before = one.version();
         one.refresh();
         one.refresh();
@@ -46,13 +52,21 @@
 fn a_truncated_file_changes_nothing() {
     with_folder("short", |folder| {
         let store = OverrideStore::open(Some(folder));
-        store.change(|overrides| overrides.exclude("s-1")).expect("the file is written");
+        change(&store, |overrides| overrides.exclude("s-1"));
         fs::write(folder.join(OVERRIDES_FILE), b"{\"out\":[\"s-").expect("a file");
         store.refresh();
         assert!(store.current().excluded.contains("s-1"));
-        assert_eq!(*OverrideStore::open(Some(folder)).current(), OperatorOverrides::default());
+        // A process that starts now holds to what was confirmed, while the second copy is whole.
+        assert!(OverrideStore::open(Some(folder)).current().excluded.contains("s-1"));
+        let copy = fs::read(folder.join(COPY_FILE)).expect("a file");
+        let damaged = String::from_utf8(copy.clone()).expect("text").replace("s-1", "s-9");
+        for damaged in [damaged.as_bytes(), &copy[..copy.len() - 2]] {
+            fs::write(folder.join(COPY_FILE), damaged).expect("a file");
+            assert_eq!(*OverrideStore::open(Some(folder)).current(), OperatorOverrides::default());
+        }
+        fs::write(folder.join(COPY_FILE), copy).expect("a file");
         // The next change replaces it by a complete one.
-        store.change(|overrides| overrides.exclude("s-2")).expect("the file is written");
+        change(&store, |overrides| overrides.exclude("s-2"));
         assert_eq!(OverrideStore::open(Some(folder)).current().excluded.len(), 2);
     });
 }
--- a/crates/proxy/src/lifecycle/process_lifecycle.rs
+++ b/crates/proxy/src/lifecycle/process_lifecycle.rs
@@ -1,7 +1,6 @@
 //! Owns the process's present phase and applies what changes it: shutdown requests and operator overrides.
 
 use std::cell::Cell;
-use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,7 +8,7 @@
 use tokio::time::Instant;
 
 use crate::lifecycle::Phase;
-use crate::lifecycle::overrides::OverrideStore;
+use crate::lifecycle::overrides::{OverrideError, OverrideStore};
 use crate::log::log_line;
 
 /// How long a process without an endpoint list reports that it is not ready. After that it is ready without one and
@@ -81,8 +80,8 @@
     ///
     /// # Errors
     /// The file of overrides cannot be written; the phase has not changed then.
-    pub fn set_evacuated(&self, evacuated: bool) -> io::Result<()> {
-        self.overrides.change(|overrides| overrides.evacuated = evacuated)?;
+    pub async fn set_evacuated(&self, evacuated: bool) -> Result<(), OverrideError> {
+        self.overrides.change(move |overrides| overrides.evacuated = evacuated).await?;
         self.apply_overrides();
         Ok(())
     }
