Test slow start under a wrong wall clock; two known failures

Measured: with the clock 30 s ahead a server that has just started gets what a warm one gets; an hour behind it got 49 calls beside 551 after its warm-up was over.

--- a/crates/policy/tests/decisions/slow_start.rs
+++ b/crates/policy/tests/decisions/slow_start.rs
@@ -122,3 +122,37 @@
     let most = rules.overload_factor * rules.cold_capacity * (360.0 - cold) / 4.0;
     assert!(cold < most, "{cold} of 360 in its first seconds, {most} at the most");
 }
+
+/// The attempts to a server that has started just now, beside four warm ones, where the wall clock is `ahead`
+/// microseconds ahead of the true time (behind, if negative) so that its start seems so much older.
+fn attempts_to_a_fresh_server(ahead: i64) -> u32 {
+    let mut world = world(&[Idempotency::Idempotent], 4);
+    warm_up(&mut world, 0, 400, 5 * MS);
+    let mut entry = ServerEntry::new(9);
+    entry.started = Some(world.now.saturating_add_signed(-ahead));
+    world.list(ListKind::Delta, vec![entry]);
+    warm_up(&mut world, 0, 600, 5 * MS);
+    world.sends.get(&9).copied().unwrap_or(0)
+}
+
+#[test]
+fn a_start_heard_of_in_service_is_as_new_as_its_news_whatever_the_clock_says() {
+    let with_the_clock_right = attempts_to_a_fresh_server(0);
+    for seconds in [30, 3600, -30, -3600] {
+        let attempts = attempts_to_a_fresh_server(seconds * SECOND as i64);
+        assert_eq!(attempts, with_the_clock_right, "{seconds} s ahead");
+    }
+}
+
+#[test]
+fn a_server_whose_start_lies_ahead_of_a_slow_clock_is_warm_in_time() {
+    let mut world = world(&[Idempotency::Idempotent], 0);
+    let cold = ServerEntry { started: Some(world.now + 3600 * SECOND), ..ServerEntry::new(1) };
+    world.list(ListKind::Snapshot, vec![ServerEntry::new(0), cold]);
+    let warm_after = world.settings.rules.warm_up_time;
+    warm_up(&mut world, 0, (warm_after / (6 * MS)) as usize + 1, 5 * MS);
+    let before = world.sends.clone();
+    warm_up(&mut world, 0, 600, 5 * MS);
+    let [warm, cold] = [0, 1].map(|id| world.sends[&id] - before.get(&id).copied().unwrap_or(0));
+    assert!(2 * cold > warm, "{cold} beside {warm}, an hour before its start");
+}
