Take a start heard of in service for as new as its news

Cause: a server's age was the difference of its start in Unix time and this machine's clock; with the clock ahead a cold server passed for a warm one, which breaks the budget of slow start, and with it behind the server stayed cold until the clock had caught up. Change: Fleet keeps the listed start, which tells one process from the next, apart from the start that slow start counts from: the news, once discovery has been heard; in the first list what it says, but never a time ahead. A clock that is ahead at the start of the process still makes what its first list names as new look old: no evidence in the process tells; open. Measured: a_start_heard_of_in_service_is_as_new_as_its_news_whatever_the_clock_says and a_server_whose_start_lies_ahead_of_a_slow_clock_is_warm_in_time failed before and pass; the policy's suite passes.

--- a/crates/policy/src/endpoints.rs
+++ b/crates/policy/src/endpoints.rs
@@ -37,6 +37,7 @@
         for entry in entries {
             self.insert(context, entry, interval);
         }
+        self.heard_discovery |= kind != ListKind::CachedSnapshot;
         self.servers.retain(|server| server.entry.state != ServerState::Removed);
         self.recount_zones();
         self.choose_preferred(&context.settings);
@@ -49,16 +50,19 @@
     /// Adds or changes a server; one whose process was started anew begins without a history.
     fn insert(&mut self, context: &mut Context, mut entry: ServerEntry, interval: f64) {
         entry.weight = if entry.weight > 0.0 { entry.weight } else { 1.0 };
+        let listed_start = entry.started;
         let index = self.index_or_placeholder(&entry);
         let server = &mut self.servers[index];
         self.ready -= usize::from(server.is_ready());
         let mean_pause = slow_start::mean_pause(interval, self.ready, &context.settings.rules);
-        if server.entry.started == entry.started && !server.breakers.0.is_empty() {
+        if server.listed_start == listed_start && !server.breakers.0.is_empty() {
+            entry.started = server.entry.started;
             server.entry = entry;
         } else {
+            entry.started = slow_start::effective_start(context.now, listed_start, self.heard_discovery);
             let breakers = Breakers::new(context.settings.classes.len());
             let in_flight = server.in_flight;
-            *server = Server { entry, in_flight, breakers, ..Server::default() };
+            *server = Server { entry, listed_start, in_flight, breakers, ..Server::default() };
             slow_start::pause(context, server, mean_pause, &PauseAfter::Discovery);
         }
         self.ready += usize::from(server.is_ready());
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -8,7 +8,10 @@
 /// A server and what this balancer's own attempts tell of it.
 #[derive(Default)]
 pub(crate) struct Server {
+    /// As listed, but for its start: see [`crate::slow_start::effective_start`].
     pub entry: ServerEntry,
+    /// Its start as listed, which tells one process from the next.
+    pub listed_start: Option<Micros>,
     pub in_flight: u32,
     pub breakers: Breakers,
     /// The next attempt goes no earlier: it is cold or rejected the last one.
@@ -72,6 +75,8 @@
     pub ejected: usize,
     /// Servers are known, and all of them drain.
     pub all_draining: bool,
+    /// Discovery has been heard: what it tells from now on is news.
+    pub heard_discovery: bool,
 }
 
 impl Fleet {
--- a/crates/policy/src/slow_start.rs
+++ b/crates/policy/src/slow_start.rs
@@ -17,6 +17,13 @@
     (rules.cold_capacity + (1.0 - rules.cold_capacity) * warmed_up).min(1.0)
 }
 
+/// When a server's process started, as slow start counts it. Start times are Unix time, and clocks may be off
+/// by an hour: a start heard of in service is as new as its news. One in a first list may be old; it is
+/// believed, unless it lies ahead.
+pub(crate) fn effective_start(now: Micros, listed: Option<Micros>, in_service: bool) -> Option<Micros> {
+    listed.map(|start| if in_service { now } else { start.min(now) })
+}
+
 /// Least mean time between two attempts to a cold server, were it at its full capacity: balancers together
 /// then send it no more than the rule's multiple of what a server gets. Prevents their first calls from
 /// falling on it at once; all servers count, since a zone that returns begins with one.
--- a/crates/policy/tests/decisions/slow_start.rs
+++ b/crates/policy/tests/decisions/slow_start.rs
@@ -127,6 +127,8 @@
 /// microseconds ahead of the true time (behind, if negative) so that its start seems so much older.
 fn attempts_to_a_fresh_server(ahead: i64) -> u32 {
     let mut world = world(&[Idempotency::Idempotent], 4);
+    // Discovery's own list: what comes after it is news.
+    world.list(ListKind::Snapshot, (0..4).map(ServerEntry::new).collect());
     warm_up(&mut world, 0, 400, 5 * MS);
     let mut entry = ServerEntry::new(9);
     entry.started = Some(world.now.saturating_add_signed(-ahead));
