Mend three crossings: full disk at the start, half a file at SIGHUP, a head that came whole

Cause and change, one class (a second event is not looked for): a lock file that cannot be created ended the start, and now the process serves without counting others; a configuration that was rejected at SIGHUP was never read again, and is now read up to eight times within 2 s, from the start at each new signal; a connection with a half head was closed for another client though the kernel held the rest, and is now left alone while it does, as idle ones are.

--- a/crates/proxy/src/downstream/idle_connections.rs
+++ b/crates/proxy/src/downstream/idle_connections.rs
@@ -40,6 +40,11 @@
 }
 
 impl IdleConnection {
+    /// Whether the kernel holds more of what the client has sent.
+    fn has_unread_bytes(&self) -> bool {
+        self.stream.upgrade().is_some_and(|stream| stream.borrow().socket().has_unread_bytes())
+    }
+
     fn has_unread_input(&self) -> bool {
         self.stream.upgrade().is_some_and(|stream| stream.borrow().has_unread_input())
     }
@@ -65,7 +70,9 @@
         if idle == CloseOutcome::Closed {
             return CloseOutcome::Closed;
         }
-        let receiving_head = close_oldest_of(&self.receiving_head, HEAD_PROTECTION, |_| true);
+        // The rest of a head may have come, and its request is taken then.
+        let receiving_head =
+            close_oldest_of(&self.receiving_head, HEAD_PROTECTION, |slow| !slow.has_unread_bytes());
         match (idle, receiving_head) {
             (CloseOutcome::NotBefore(idle), CloseOutcome::NotBefore(receiving_head)) => {
                 CloseOutcome::NotBefore(idle.min(receiving_head))
--- a/crates/proxy/src/process/reload.rs
+++ b/crates/proxy/src/process/reload.rs
@@ -1,6 +1,9 @@
 //! The reload of the configuration while the process runs.
 
 use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::sleep;
 
 use crate::config::Config;
 use crate::discovery::Discovery;
@@ -10,6 +13,11 @@
 use crate::process::environment_variable;
 use crate::process::transport::SocketTransport;
 
+/// How often a configuration that is not valid is read.
+const READ_TRIES: u32 = 8;
+/// Pause between two tries: all come within 2 s of the signal, after which the new discovery counts as heard at 4 s.
+const READ_RETRY_PAUSE: Duration = Duration::from_millis(250);
+
 /// What a reload of the configuration changes.
 pub struct Reload {
     /// The balancer's name, for the log.
@@ -22,8 +30,19 @@
 
 impl Reload {
     /// Reads the configuration again and applies what may change while the process runs, which is the address of
-    /// discovery. A configuration that is not valid, such as a file that is only half written, changes nothing.
-    pub fn run(&self) {
+    /// discovery. A configuration that is not valid changes nothing; it is read again for a while, since the file may
+    /// be half written as yet.
+    pub async fn run(&self) {
+        for _ in 0..READ_TRIES {
+            if self.try_run() {
+                return;
+            }
+            sleep(READ_RETRY_PAUSE).await;
+        }
+    }
+
+    /// Reads and applies the configuration once. Returns whether it is valid.
+    fn try_run(&self) -> bool {
         let name = &self.name;
         match Config::read_again(environment_variable) {
             Ok(config) => {
@@ -35,11 +54,16 @@
                 self.discovery.change_address(address, move |kind, endpoints| {
                     dispatcher.update_endpoints(kind, endpoints);
                 });
+                true
+            }
+            Err(error) => {
+                log_line!(
+                    "zincstand-proxy {name}: the new configuration is rejected and the running configuration is \
+                     kept: {}",
+                    ErrorChain(&error)
+                );
+                false
             }
-            Err(error) => log_line!(
-                "zincstand-proxy {name}: the new configuration is rejected and the running configuration is kept: {}",
-                ErrorChain(&error)
-            ),
         }
     }
 }
--- a/crates/proxy/src/process/signals.rs
+++ b/crates/proxy/src/process/signals.rs
@@ -47,8 +47,13 @@
     /// Spawns the task that reads the configuration again at each SIGHUP.
     pub fn spawn_task(mut self, reload: Reload) {
         spawn_local(async move {
-            while self.0.recv().await.is_some() {
-                reload.run();
+            let mut signal = self.0.recv().await;
+            while signal.is_some() {
+                // A later signal starts over: the file may have been replaced once more.
+                signal = tokio::select! {
+                    signal = self.0.recv() => signal,
+                    () = reload.run() => self.0.recv().await,
+                };
             }
         });
     }
--- a/crates/proxy/src/process/startup.rs
+++ b/crates/proxy/src/process/startup.rs
@@ -16,8 +16,9 @@
 use crate::discovery::{Discovery, EndpointList};
 use crate::dispatch::Dispatcher;
 use crate::downstream::{Listener, Server};
+use crate::error_chain::ErrorChain;
 use crate::lifecycle::Lifecycle;
-use crate::lifecycle::hot_restart::{ProcessPresence, SavedState};
+use crate::lifecycle::hot_restart::{ProcessPresence, ProcessPresenceError, SavedState};
 use crate::lifecycle::overrides::OverrideStore;
 use crate::lifecycle::state_folder;
 use crate::log::log_line;
@@ -108,9 +109,19 @@
         self.folder.as_deref().filter(|_| self.shares_listener)
     }
 
-    /// Makes this process known to the others that share its listener.
+    /// Makes this process known to the others that share its listener. Where no lock file can be created, as on a full
+    /// disk, it serves all the same, and counts no others.
     fn register_process(&self) -> Result<Option<ProcessPresence>, StartError> {
-        Ok(self.hot_restart_folder().map(ProcessPresence::enter).transpose()?)
+        match self.hot_restart_folder().map(ProcessPresence::enter).transpose() {
+            Err(error @ ProcessPresenceError::LockFile { .. }) => {
+                log_line!(
+                    "hot restart: other processes of this balancer are not seen: {}",
+                    ErrorChain(&error)
+                );
+                Ok(None)
+            }
+            presence => Ok(presence?),
+        }
     }
 }
 
