Guard the first byte of an attempt in one place, and count what it holds back

Reason: the told deadline is computed when a request is prepared; a process that is held up before its first byte told more than the client had left. Change: SendGuard asks for the client and for the time since preparation right before the first byte, whichever path led there; what it holds back is counted in the log, never blamed on the upstream, and may be sent anew.

--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -13,14 +13,15 @@
 use crate::upstream::pool::{ConnectionOrigin, ConnectionPool, PooledConnection};
 use crate::upstream::request::UpstreamRequest;
 use crate::upstream::response::{ExchangeResult, read_response};
+use crate::upstream::send_guard::{HeldBack, SendGuard};
 
 /// How far an attempt's request has been written. Shared between the attempt's task and its [`Attempt`], which may
 /// abort it at any time.
 pub struct AttemptProgress {
     request: Rc<UpstreamRequest>,
     writing: RefCell<Option<RequestWriting>>,
-    /// Ended before the first byte was written, because the client had disconnected.
-    cancelled: Rc<Cell<bool>>,
+    /// Why it was ended before its first byte was written, if it was.
+    held_back: Rc<Cell<Option<HeldBack>>>,
 }
 
 /// The connection on which a request is written.
@@ -38,7 +39,7 @@
         Rc::new(AttemptProgress {
             request: request.clone(),
             writing: RefCell::new(None),
-            cancelled: Rc::default(),
+            held_back: Rc::default(),
         })
     }
 
@@ -51,13 +52,9 @@
     fn start_writing(&self, connection: &UpstreamConnection) {
         let written = connection.written().clone();
         let written_before = written.get();
-        let request = self.request.clone();
-        let cancelled = self.cancelled.clone();
         // The connection's task waits for its turn before it writes, and the client may disconnect meanwhile.
-        connection.set_first_byte_check(Box::new(move || {
-            cancelled.set(request.client_disconnected());
-            !cancelled.get()
-        }));
+        let guard = SendGuard::new(self.request.clone(), self.held_back.clone());
+        connection.set_first_byte_check(Box::new(move || guard.may_write()));
         let driver = connection.driver().clone();
         *self.writing.borrow_mut() = Some(RequestWriting { driver, written, written_before });
     }
@@ -73,14 +70,15 @@
         writing.as_ref().is_some_and(|writing| writing.written.get() - writing.written_before >= least_bytes)
     }
 
-    /// Whether the request failed through its client, which has disconnected or broken its body off.
-    fn failed_through_client(&self) -> bool {
-        self.request.body.is_broken_off() || self.cancelled.get()
+    /// Whether the upstream has no part in the failure: the client has disconnected or broken its body off, or the
+    /// attempt was held back here.
+    fn failed_on_this_side(&self) -> bool {
+        self.request.body.is_broken_off() || self.held_back.get().is_some()
     }
 
     /// What a request means that could not be sent or got no response.
     fn outcome_of_send_error(&self, was_handed_back: bool) -> Outcome {
-        if self.failed_through_client() {
+        if self.failed_on_this_side() {
             Outcome::NotSent
         } else if !was_handed_back && self.may_have_run() {
             Outcome::Reset
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -9,6 +9,7 @@
 mod request;
 pub mod request_body_stream;
 mod response;
+mod send_guard;
 mod streamed_body;
 
 use std::rc::Rc;
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -224,3 +224,19 @@
         assert_eq!(stream.read(&mut [0]).await.expect("an end"), 0, "something was written");
     });
 }
+
+#[test]
+fn nothing_is_written_that_was_prepared_too_long_ago() {
+    run_with_upstream(9, async |upstreams, listener, target| {
+        let (mut stream, _) = exchange_once(&upstreams, &listener, target).await;
+        let WaitingClient { socket: _socket, progress, _connection } = waiting_client().await;
+        let mut exchange = Box::pin(exchange(&upstreams.pool, target, Some(400_000), &progress));
+        let is_pending = poll_fn(|context| Poll::Ready(exchange.as_mut().poll(context).is_pending())).await;
+        assert!(is_pending);
+        // The process is held up before its connection's task has its turn to write.
+        std::thread::sleep(Duration::from_millis(160));
+        let result = timeout(Duration::from_secs(10), exchange).await.expect("it waits for an answer");
+        assert_eq!(result.outcome, Outcome::NotSent);
+        assert_eq!(stream.read(&mut [0]).await.expect("an end"), 0, "something was written");
+    });
+}
