--- a/crates/fault-injection/src/hooks.rs
+++ b/crates/fault-injection/src/hooks.rs
@@ -27,6 +27,16 @@
     }
 }
 
+/// Whether a descriptor belongs to a file that is stored, or to standard error. Other descriptors, as those that wake a
+/// thread, have no disk that could be full.
+fn is_stored(descriptor: c_int) -> bool {
+    // SAFETY: the structure is a local, and all of its bytes may be zero.
+    let mut status: libc::stat = unsafe { std::mem::zeroed() };
+    // SAFETY: the pointer is to a local.
+    let found = unsafe { libc::syscall(libc::SYS_fstat, descriptor, &raw mut status) } == 0;
+    descriptor == libc::STDERR_FILENO || (found && status.st_mode & libc::S_IFMT == libc::S_IFREG)
+}
+
 /// Fails the call if the plan says so.
 macro_rules! fail_as_planned {
     ($call:literal) => {
@@ -111,7 +121,7 @@
 #[unsafe(no_mangle)]
 unsafe extern "C" fn write(fd: c_int, buffer: *const c_void, length: usize) -> ssize_t {
     let call = if fd == libc::STDERR_FILENO { "log" } else { "write" };
-    if !is_socket(fd)
+    if is_stored(fd)
         && let Some(number) = plan().failure(call)
     {
         return fail(number) as ssize_t;
@@ -158,7 +168,7 @@
 
 #[unsafe(no_mangle)]
 unsafe extern "C" fn read(fd: c_int, buffer: *mut c_void, length: usize) -> ssize_t {
-    if !is_socket(fd)
+    if is_stored(fd)
         && let Some(number) = plan().failure("read")
     {
         return fail(number) as ssize_t;
