--- a/crates/proxy/tests/soak.rs
+++ b/crates/proxy/tests/soak.rs
@@ -135,7 +135,7 @@
         record.sent.lock().expect("no panic").insert(id.clone(), sent);
         let (head, rest) = text.split_at(if rng.bool() { text.len() } else { rng.usize(1..text.len()) });
         let written = stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(rest.as_bytes()));
-        let mut set = |change: fn(&mut Sent)| {
+        let set = |change: fn(&mut Sent)| {
             record.sent.lock().expect("no panic").get_mut(&id).into_iter().for_each(change);
         };
         set(|sent| sent.at = Instant::now());
@@ -159,7 +159,7 @@
                 kept = (message.header("connection") != Some("close")).then_some(stream);
             }
             None if is_new => {
-                record.violation(format!("lost: {id} on a new connection, {:?}", start.elapsed()))
+                record.violation(format!("lost: {id} on a new connection, {:?}", start.elapsed()));
             }
             None => set(|sent| sent.closed_unanswered = true),
         }
@@ -252,7 +252,9 @@
         }
     }
     record.over.store(true, Ordering::Relaxed);
-    clients.into_iter().for_each(|client| client.join().expect("no panic"));
+    for client in clients {
+        client.join().expect("no panic");
+    }
     for (balancer, _, _, plan, _) in &mut running {
         if let Some(status) = balancer.child.try_wait().expect("a status") {
             record.violation(format!("crash with {plan:?}: {status}"));
--- a/crates/proxy/tests/system_calls.rs
+++ b/crates/proxy/tests/system_calls.rs
@@ -107,3 +107,17 @@
     balancer.terminate();
     assert!(balancer.child.wait().expect("it ends").success());
 }
+
+#[test]
+fn interrupted_reads_at_a_signal_end_nothing() {
+    for _ in 0..4 {
+        let (address, _requests) = upstream();
+        let mut balancer = Setup { faults: "recv:EINTR/2", ..Setup::knowing(&[address]) }.start();
+        assert_eq!(balancer.ask(READY).status(), 200);
+        balancer.reload(&std::fs::read_to_string(&balancer.file).expect("a file"));
+        balancer.logged("read again");
+        balancer.terminate();
+        assert_eq!(failures(balancer.address, 10), []);
+        assert!(balancer.child.wait().expect("it ends").success());
+    }
+}
