--- a/crates/proxy/tests/common/balancer.rs
+++ b/crates/proxy/tests/common/balancer.rs
@@ -42,7 +42,7 @@
 
     /// Makes a call to the operators' address; returns its status.
     pub fn call(&self, method: &str, path: &str) -> u16 {
-        let mut stream = self.desk();
+        let mut stream = self.connect_operator();
         let call = format!("{method} {path} HTTP/1.1\r\nHost: b\r\n\r\n");
         let said = exchange(&mut stream, &call);
         assert!(closed(&mut stream), "one call to a connection");
@@ -50,7 +50,7 @@
     }
 
     /// Connects to the operators' address.
-    pub fn desk(&self) -> TcpStream {
+    pub fn connect_operator(&self) -> TcpStream {
         let stream = TcpStream::connect(self.management.expect("an address")).expect("it listens");
         let _ = stream.set_read_timeout(Some(LONG));
         stream
--- a/crates/proxy/tests/common/setup.rs
+++ b/crates/proxy/tests/common/setup.rs
@@ -34,7 +34,7 @@
     pub known: Vec<String>,
     pub discovery: Option<SocketAddr>,
     /// The policy does not poll for lists: the discovery client restarts the watch by itself.
-    pub unasked: bool,
+    pub pushes_lists: bool,
     pub limits: &'static str,
     /// The names of the tiers; the balancer sends to the first.
     pub tiers: &'static str,
@@ -54,7 +54,7 @@
     /// The folder that all processes of the balancer share (`TMPDIR`).
     pub folder: Option<PathBuf>,
     /// The listening socket that the platform passes on (`EDGE_FD`).
-    pub door: Option<TcpListener>,
+    pub inherited_listener: Option<TcpListener>,
     /// The system calls that fail, as a plan for the fault injection library.
     pub faults: &'static str,
     /// The file that puts the plan in force while it exists; without one it always is.
@@ -71,7 +71,7 @@
             config: None,
             known: entries.collect(),
             discovery: None,
-            unasked: false,
+            pushes_lists: false,
             limits: "",
             tiers: r#""t""#,
             balancers: (1, r#""a""#),
@@ -85,7 +85,7 @@
             descriptors: None,
             management: None,
             folder: None,
-            door: None,
+            inherited_listener: None,
             faults: "",
             fault_switch: None,
             log: None,
@@ -98,7 +98,7 @@
             entries => format!(r#""known":{},"#, list(41, true, entries)),
         };
         let (mode, discovery) = match self.discovery {
-            Some(address) if self.unasked => ("automatic", address),
+            Some(address) if self.pushes_lists => ("automatic", address),
             Some(address) => ("subscribe", address),
             None => ("automatic", nowhere()),
         };
@@ -142,9 +142,9 @@
         if let Some(log) = self.log {
             command.stderr(log);
         }
-        if let Some(door) = self.door {
+        if let Some(inherited_listener) = self.inherited_listener {
             // Standard input is the one descriptor that is inherited for certain.
-            command.env("EDGE_FD", "0").stdin(Stdio::from(OwnedFd::from(door)));
+            command.env("EDGE_FD", "0").stdin(Stdio::from(OwnedFd::from(inherited_listener)));
         }
         let mut child = {
             let _lock = lock_process_start();
--- a/crates/proxy/tests/crossings.rs
+++ b/crates/proxy/tests/crossings.rs
@@ -15,8 +15,12 @@
     let address = upstream.address;
     let _requests = upstream.serve(|_, stream| ok(stream));
     let folder = Folder::new("full-disk");
-    let door = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let setup = Setup { door: Some(door), folder: Some(folder.0.clone()), ..Setup::knowing(&[address]) };
+    let inherited_listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let setup = Setup {
+        inherited_listener: Some(inherited_listener),
+        folder: Some(folder.0.clone()),
+        ..Setup::knowing(&[address])
+    };
     let balancer = Setup { management: Some("127.0.0.1:0"), faults: "create:ENOSPC", ..setup }.start();
     assert_eq!(balancer.ask(READY).status(), 200);
     assert_eq!(balancer.ask(&request("look", "r-1", "")).status(), 200);
--- a/crates/proxy/tests/discovery.rs
+++ b/crates/proxy/tests/discovery.rs
@@ -36,7 +36,7 @@
 #[test]
 fn discovery_receives_these_bytes_on_one_connection() {
     let discovery = Peer::new();
-    let setup = Setup { discovery: Some(discovery.address), unasked: true, ..Setup::knowing(&[]) };
+    let setup = Setup { discovery: Some(discovery.address), pushes_lists: true, ..Setup::knowing(&[]) };
     let _balancer = setup.start();
     let mut connection = discovery.accept();
 
@@ -76,7 +76,8 @@
 fn a_silent_watch_is_restarted_long_before_its_wait_is_over() {
     let (discovery, upstream) = (Peer::new(), Peer::new());
     let setup = Setup::knowing(&[upstream.address]);
-    let setup = Setup { discovery: Some(discovery.address), unasked: true, drain_grace_ms: 1000, ..setup };
+    let setup =
+        Setup { discovery: Some(discovery.address), pushes_lists: true, drain_grace_ms: 1000, ..setup };
     let start = Instant::now();
     let balancer = setup.start();
     let mut silent = discovery.accept();
@@ -94,7 +95,7 @@
 fn a_policy_that_does_not_poll_is_served_by_a_watch_that_restarts_itself() {
     let (discovery, upstream) = (Peer::new(), Peer::new());
     let setup = Setup::knowing(&[nowhere()]);
-    let balancer = Setup { discovery: Some(discovery.address), unasked: true, ..setup }.start();
+    let balancer = Setup { discovery: Some(discovery.address), pushes_lists: true, ..setup }.start();
     for failure in ["HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "", "what?\r\n\r\n"] {
         let mut connection = discovery.accept();
         let call = read(&mut connection).expect("a call");
@@ -113,7 +114,7 @@
 #[test]
 fn without_a_cached_list_the_complete_list_is_fetched_first() {
     let discovery = Peer::new();
-    let setup = Setup { discovery: Some(discovery.address), unasked: true, ..Setup::knowing(&[]) };
+    let setup = Setup { discovery: Some(discovery.address), pushes_lists: true, ..Setup::knowing(&[]) };
     let balancer = setup.start();
     assert_eq!(balancer.ask(READY).status(), 503);
     let mut connection = discovery.accept();
--- a/crates/proxy/tests/idle_connections.rs
+++ b/crates/proxy/tests/idle_connections.rs
@@ -111,7 +111,7 @@
 fn setup(upstream: SocketAddr, discovery: SocketAddr) -> Setup {
     Setup {
         discovery: Some(discovery),
-        unasked: true,
+        pushes_lists: true,
         sockets: SOCKETS,
         descriptors: Some(SOCKETS as u32),
         ..Setup::knowing(&[upstream])
@@ -181,10 +181,11 @@
     let a_address = a.address;
     let (to_a, to_b) = (a.serve(|_, stream| ok(stream)), b.serve(|_, stream| ok(stream)));
     let folder = Folder::new("idle-clients");
-    let door = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let inherited_listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let start = || {
-        let (folder, door) = (Some(folder.0.clone()), Some(door.try_clone().expect("a descriptor")));
-        Setup { folder, door, ..setup(a_address, agent.address) }.start()
+        let (folder, inherited_listener) =
+            (Some(folder.0.clone()), Some(inherited_listener.try_clone().expect("a descriptor")));
+        Setup { folder, inherited_listener, ..setup(a_address, agent.address) }.start()
     };
     let mut old = start();
     let _idle_clients = IdleClients::new(old.address, IDLE);
@@ -243,10 +244,11 @@
     // on a busy machine this proves nothing.
     let in_time = (0..5).any(|_| {
         let folder = Folder::new("excess");
-        let door = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let inherited_listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let start = || {
-            let (folder, door) = (Some(folder.0.clone()), Some(door.try_clone().expect("a descriptor")));
-            Setup { folder, door, ..setup(nowhere(), nowhere()) }.start()
+            let (folder, inherited_listener) =
+                (Some(folder.0.clone()), Some(inherited_listener.try_clone().expect("a descriptor")));
+            Setup { folder, inherited_listener, ..setup(nowhere(), nowhere()) }.start()
         };
         let old = start();
         let mut kept: Vec<_> = (0..60).map(|_| old.connect()).collect();
--- a/crates/proxy/tests/messages.rs
+++ b/crates/proxy/tests/messages.rs
@@ -36,7 +36,7 @@
 }
 
 fn call(balancer: &Balancer, request: &str) -> String {
-    let mut stream = balancer.desk();
+    let mut stream = balancer.connect_operator();
     let response = exchange(&mut stream, request);
     assert!(closed(&mut stream), "one call to a connection: {request}");
     without_date(&response)
@@ -92,7 +92,7 @@
         let expected = operators_response(status, allow, text);
         assert_eq!(operators_call(&balancer, method, path), expected, "{method} {path}");
     }
-    let mut stream = balancer.desk();
+    let mut stream = balancer.connect_operator();
     let long = "POST /api/exclude/s-0 HTTP/1.1\r\nHost: b\r\nContent-Length: 90000\r\n\r\n";
     let too_long = exchange(&mut stream, &format!("{long}{}", "x".repeat(8000)));
     let expected = operators_response("413 Payload Too Large", "", "a call has no body");
@@ -100,14 +100,14 @@
     // A body of a size that is read is passed over.
     let short = "POST /api/rejoin HTTP/1.1\r\nHost: b\r\nContent-Length: 4\r\n\r\nbody";
     assert_eq!(call(&balancer, short), operators_response("200 OK", "", "clients are taken"));
-    let mut stream = balancer.desk();
+    let mut stream = balancer.connect_operator();
     let unreadable = exchange(&mut stream, "POST api/exclude/s-0\r\n\r\n");
     assert_eq!(
         without_date(&unreadable),
         "HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
     );
     // HEAD has the length of the text that it leaves out.
-    let mut stream = balancer.desk();
+    let mut stream = balancer.connect_operator();
     stream.write_all(b"HEAD /api/ready HTTP/1.1\r\nHost: b\r\n\r\n").expect("it reads");
     let head = without_date(&read_head(&mut stream).expect("a head"));
     let expected = operators_response("405 Method Not Allowed", get, "another method");
--- a/crates/proxy/tests/operators.rs
+++ b/crates/proxy/tests/operators.rs
@@ -71,9 +71,9 @@
     ] {
         assert_eq!(balancer.call(method, path), status, "{method} {path}");
     }
-    let mut stream = balancer.desk();
+    let mut stream = balancer.connect_operator();
     assert_eq!(exchange(&mut stream, "POST api/exclude/s-0\r\n\r\n").status(), 400);
-    let mut stream = balancer.desk();
+    let mut stream = balancer.connect_operator();
     let long = format!(
         "POST /api/exclude/s-0 HTTP/1.1\r\nHost: b\r\nContent-Length: 90000\r\n\r\n{}",
         "x".repeat(8000)
@@ -86,7 +86,7 @@
 #[test]
 fn unfinished_calls_delay_no_other_call() {
     let balancer = managed(&[nowhere()]).start();
-    let mut unfinished: Vec<_> = (0..40).map(|_| balancer.desk()).collect();
+    let mut unfinished: Vec<_> = (0..40).map(|_| balancer.connect_operator()).collect();
     for (number, stream) in unfinished.iter_mut().enumerate() {
         // Some of them may have been closed already.
         let _ = stream.write_all(&b"POST /api/evacuate HTTP/1.1\r\nHost"[..number % 30]);
@@ -141,8 +141,8 @@
     let socket = TcpListener::bind("127.0.0.1:0").expect("a port");
     let start = || {
         let folder = Some(folder.0.clone());
-        let door = Some(socket.try_clone().expect("a descriptor"));
-        Setup { folder, door, ..managed(&[first, second, third]) }.start()
+        let inherited_listener = Some(socket.try_clone().expect("a descriptor"));
+        Setup { folder, inherited_listener, ..managed(&[first, second, third]) }.start()
     };
     let mut old = start();
     assert_eq!(old.address, socket.local_addr().expect("an address"));
@@ -186,8 +186,8 @@
     let socket = TcpListener::bind("127.0.0.1:0").expect("a port");
     let setup = || {
         let folder = Some(folder.0.clone());
-        let door = Some(socket.try_clone().expect("a descriptor"));
-        Setup { folder, door, ..managed(&[first, second]) }
+        let inherited_listener = Some(socket.try_clone().expect("a descriptor"));
+        Setup { folder, inherited_listener, ..managed(&[first, second]) }
     };
     let old = setup().start();
     assert_eq!(old.call("POST", "/api/exclude/s-0"), 200);
--- a/crates/proxy/tests/override_faults.rs
+++ b/crates/proxy/tests/override_faults.rs
@@ -22,7 +22,7 @@
     let balancer = managed(&folder).start();
     let lock = File::create(folder.0.join(LOCK_FILE)).expect("a file");
     lock.lock().expect("a lock");
-    let mut operator = balancer.desk();
+    let mut operator = balancer.connect_operator();
     let called = Instant::now();
     operator.write_all(b"POST /api/evacuate HTTP/1.1\r\nHost: b\r\n\r\n").expect("it reads");
     for _ in 0..20 {
--- a/crates/proxy/tests/ready.rs
+++ b/crates/proxy/tests/ready.rs
@@ -66,7 +66,7 @@
 ) -> (Balancer, Option<Duration>) {
     let known = if has_cached_list { vec![entry("s-0", nowhere(), "SERVING")] } else { Vec::new() };
     let mut setup = Setup { known, discovery: Some(discovery), ..Setup::knowing(&[]) };
-    setup.unasked = true;
+    setup.pushes_lists = true;
     setup.drain_grace_ms = 2500;
     start_together.wait();
     let start = Instant::now();
--- a/crates/proxy/tests/soak.rs
+++ b/crates/proxy/tests/soak.rs
@@ -208,21 +208,22 @@
     let mut running = Vec::new();
     let mut clients = Vec::new();
     for (number, plan) in PLANS.into_iter().take(BALANCERS).enumerate() {
-        let door = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let address = door.local_addr().expect("an address");
+        let inherited_listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = inherited_listener.local_addr().expect("an address");
         let folder = Folder::new(&format!("soak-{seed}-{number}"));
-        let start = |door: &TcpListener, folder: &Folder| {
-            let door = Some(door.try_clone().expect("a descriptor"));
-            let setup = Setup { door, folder: Some(folder.0.clone()), ..Setup::knowing(&upstreams) };
+        let start = |inherited_listener: &TcpListener, folder: &Folder| {
+            let inherited_listener = Some(inherited_listener.try_clone().expect("a descriptor"));
+            let setup =
+                Setup { inherited_listener, folder: Some(folder.0.clone()), ..Setup::knowing(&upstreams) };
             Setup { management: Some("127.0.0.1:0"), faults: plan, deadline_ms: 1500, ..setup }.start()
         };
-        let balancer = start(&door, &folder);
+        let balancer = start(&inherited_listener, &folder);
         for client_number in 0..CLIENTS_OF_EACH {
             let (record, seed) = (record.clone(), rng.u64(..));
             let name = format!("{number}-{client_number}");
             clients.push(std::thread::spawn(move || client(&record, address, &name, seed)));
         }
-        running.push((balancer, door, folder, plan, start));
+        running.push((balancer, inherited_listener, folder, plan, start));
     }
     let end = Instant::now() + PLAY;
     let mut ended: Vec<(Balancer, Instant, &str)> = Vec::new();
@@ -230,7 +231,7 @@
     while Instant::now() < end {
         std::thread::sleep(Duration::from_millis(rng.u64(20..200)));
         let index = rng.usize(0..running.len());
-        let (balancer, door, folder, plan, start) = &mut running[index];
+        let (balancer, inherited_listener, folder, plan, start) = &mut running[index];
         match rng.u32(0..5) {
             0 => balancer.frozen(|| std::thread::sleep(Duration::from_millis(rng.u64(0..100)))),
             1 => balancer.reload(&std::fs::read_to_string(&balancer.file).expect("a file")),
@@ -239,7 +240,7 @@
                 let _ = balancer.call("POST", "/api/include/s-0");
             }
             3 if ended.len() < BALANCERS => {
-                let successor = start(door, folder);
+                let successor = start(inherited_listener, folder);
                 let ready = successor.call("GET", "/api/ready");
                 if ready != 200 {
                     record.violation(format!("start: a successor with {plan:?} says {ready}"));
--- a/crates/proxy/tests/stored_state.rs
+++ b/crates/proxy/tests/stored_state.rs
@@ -89,7 +89,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let folder = Some(folder.0.clone());
     let management = Some("127.0.0.1:0");
-    Setup { door: Some(listener), folder, management, ..Setup::knowing(upstreams) }.start()
+    Setup { inherited_listener: Some(listener), folder, management, ..Setup::knowing(upstreams) }.start()
 }
 
 fn serve_requests(balancer: &Balancer, ids: std::ops::Range<u32>) {
@@ -266,7 +266,7 @@
 
     // An override that comes here waits for the earlier version's lock and keeps what that one has written.
     let lock = earlier.lock_overrides();
-    let mut stream = balancer.desk();
+    let mut stream = balancer.connect_operator();
     stream.write_all(b"POST /api/evacuate HTTP/1.1\r\nHost: b\r\n\r\n").expect("it reads");
     stream.set_read_timeout(Some(Duration::from_millis(300))).expect("an option");
     assert!(read(&mut stream).is_none(), "it did not wait for the lock");
