--- a/crates/proxy/tests/system_calls.rs
+++ b/crates/proxy/tests/system_calls.rs
@@ -94,14 +94,12 @@
     assert_eq!(served_in_turn(&balancer, 30), 30);
 }
 
-#[test]
-fn a_log_that_cannot_be_written_ends_nothing() {
+/// Serves, stops and ends with its log going to `log`.
+fn serves_with_log(log: Stdio) {
     let (address, _requests) = upstream();
     // A port of its own: the log, which else tells it, cannot be read.
     let listen = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port").to_string();
-    let full = std::fs::OpenOptions::new().write(true).open("/dev/full").expect("a device");
-    let log = Some(Stdio::from(full));
-    let mut balancer = Setup { listen, log, ..Setup::knowing(&[address]) }.start();
+    let mut balancer = Setup { listen, log: Some(log), ..Setup::knowing(&[address]) }.start();
     let up = (0..200).any(|_| {
         std::thread::sleep(Duration::from_millis(20));
         TcpStream::connect(balancer.address).is_ok()
@@ -112,6 +110,20 @@
     assert!(balancer.child.wait().expect("it ends").success());
 }
 
+#[test]
+fn a_log_that_cannot_be_written_ends_nothing() {
+    let full = std::fs::OpenOptions::new().write(true).open("/dev/full").expect("a device");
+    serves_with_log(Stdio::from(full));
+}
+
+#[test]
+fn a_log_that_nobody_reads_delays_nothing() {
+    let (_reader, mut writer) = std::io::pipe().expect("a pipe");
+    // As much as a pipe holds: the next write waits.
+    writer.write_all(&[b'x'; 65_536]).expect("there is room");
+    serves_with_log(Stdio::from(writer));
+}
+
 #[test]
 fn interrupted_reads_at_a_signal_end_nothing() {
     for _ in 0..4 {
