Wait at the start for a lock file that another process only looks at

Cause: a process counts the others by a shared lock for a moment; a start that finds the last free lock file so held was refused as one too many. Change: it looks again for up to 0.5 s. Measured: a_start_waits_for_a_lock_file_that_another_process_looks_at failed before and passes.

--- a/crates/proxy/src/lifecycle/hot_restart/process_presence.rs
+++ b/crates/proxy/src/lifecycle/hot_restart/process_presence.rs
@@ -3,9 +3,15 @@
 use std::fs::{File, TryLockError};
 use std::io;
 use std::path::{Path, PathBuf};
+use std::thread::sleep;
+use std::time::Duration;
 
 /// How many processes of one balancer may run at once: the one that shuts down, its successor and two spares.
 const MAX_PROCESSES: usize = 4;
+/// How often a start looks for a free lock file, and the pause between two looks: half a second together, far less than
+/// a start may take.
+const LOCK_TRIES: u32 = 25;
+const LOCK_RETRY_PAUSE: Duration = Duration::from_millis(20);
 
 /// This process cannot make itself known to the others.
 #[derive(Debug, thiserror::Error)]
@@ -41,12 +47,7 @@
         let mut files: Vec<File> = (0..MAX_PROCESSES)
             .map(|number| create_lock_file(folder, number))
             .collect::<Result<_, ProcessPresenceError>>()?;
-        // A free file seems locked while another process counts the others. The next one will do then.
-        let free = files
-            .iter()
-            .position(|file| file.try_lock().is_ok())
-            .ok_or(ProcessPresenceError::TooManyProcesses)?;
-        let own = files.remove(free);
+        let own = files.remove(lock_free_file(&files)?);
         Ok(ProcessPresence { _own: own, others: files })
     }
 
@@ -56,6 +57,18 @@
     }
 }
 
+/// Locks a free file and returns its index. A free file seems locked while another process counts the others: the next
+/// one will do then, or the same a moment later.
+fn lock_free_file(files: &[File]) -> Result<usize, ProcessPresenceError> {
+    for _ in 0..LOCK_TRIES {
+        if let Some(free) = files.iter().position(|file| file.try_lock().is_ok()) {
+            return Ok(free);
+        }
+        sleep(LOCK_RETRY_PAUSE);
+    }
+    Err(ProcessPresenceError::TooManyProcesses)
+}
+
 fn create_lock_file(folder: &Path, number: usize) -> Result<File, ProcessPresenceError> {
     let path = folder.join(format!("sloeline-process-{number}.lock"));
     File::create(&path).map_err(|source| ProcessPresenceError::LockFile { path, source })
--- a/crates/proxy/src/lifecycle/hot_restart/tests.rs
+++ b/crates/proxy/src/lifecycle/hot_restart/tests.rs
@@ -55,3 +55,21 @@
     assert_eq!((again.others(), other.others()), (1, 1));
     std::fs::remove_dir_all(&folder).expect("a folder");
 }
+
+#[test]
+fn a_start_waits_for_a_lock_file_that_another_process_looks_at() {
+    let folder = std::env::temp_dir().join(format!("zincstand-looked-at-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let _others = [(); 3].map(|()| ProcessPresence::enter(&folder).expect("a free lock file"));
+    let last = std::fs::File::open(folder.join("sloeline-process-3.lock")).expect("a file");
+    last.lock_shared().expect("a lock");
+    // Another process counts the others, and is held up for a moment while it does.
+    let counting = std::thread::spawn(move || {
+        std::thread::sleep(std::time::Duration::from_millis(50));
+        drop(last);
+    });
+    let _fourth = ProcessPresence::enter(&folder).expect("a free lock file");
+    counting.join().expect("no panic");
+    assert!(ProcessPresence::enter(&folder).is_err(), "all four are taken");
+    std::fs::remove_dir_all(&folder).expect("a folder");
+}
