Read lists entry by entry, within the memory of the process

Cause: an entry that does not fit was kept as a tree of values, some 1 kB each, and 8 MiB of a list were read: 7.8 MB of entries without content took 455 MB of memory (one trial), where 32 MB are allowed: the process is killed. Change: entries are read one by one from their text, at most 16,384 of them, and 4 MiB a list; the largest fleet needs about a third. Of an unreadable one its name and 200 characters are kept. Measured: noise_from_discovery_stays_within_the_memory passes for noise without end and for 16,000, 190,000 and 400,000 such entries; the suite of discovery passes (11), its unit tests too.

--- a/crates/proxy/src/discovery/client.rs
+++ b/crates/proxy/src/discovery/client.rs
@@ -18,8 +18,9 @@
 const LIST_PATH: &str = "/registry/instances";
 /// A call, its wait and its response included, takes no longer. A late call is kept so long beside the next ones.
 pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(2200);
-/// The longest response body, in bytes.
-const MAX_LIST_BYTES: usize = 8 << 20;
+/// The longest response body, in bytes: three times what the largest fleet needs, and two calls at once have room in
+/// 32 MB.
+const MAX_LIST_BYTES: usize = 4 << 20;
 
 /// What a call requests.
 #[derive(Clone, Copy, Debug)]
--- a/crates/proxy/src/discovery/list.rs
+++ b/crates/proxy/src/discovery/list.rs
@@ -1,9 +1,11 @@
 //! The endpoint list in discovery's JSON form.
 
-use std::fmt::Display;
+use std::fmt::{self, Display};
 use std::net::SocketAddr;
 
 use serde::Deserialize;
+use serde::de::{Deserializer, Error, SeqAccess, Visitor};
+use serde_json::value::RawValue;
 use zincstand_policy::{Micros, ServerState};
 use zincstand_settings::{micros_from_millis, unit_weight};
 
@@ -18,15 +20,57 @@
     /// Whether it is complete; else it holds only the entries that have changed.
     #[serde(default)]
     pub reset: bool,
+    #[serde(deserialize_with = "read_entries")]
     instances: Vec<ListEntry>,
 }
 
+/// Most entries of a list: five times the largest fleet. A list is read within the memory that the process has.
+const MAX_ENTRIES: usize = 16_384;
+/// Most characters of an entry that are logged.
+const MAX_LOGGED_CHARACTERS: usize = 200;
+
 /// An entry. One that cannot be read does not invalidate the others.
-#[derive(Deserialize)]
-#[serde(untagged)]
 enum ListEntry {
     Readable(Instance),
-    Unreadable(serde_json::Value),
+    Unreadable {
+        /// The instance that it names, if it names one.
+        instance: Option<String>,
+        /// The beginning of its text.
+        text: String,
+    },
+}
+
+/// The one key without which an entry says nothing.
+#[derive(Deserialize)]
+struct NamedEntry {
+    #[serde(rename = "instanceId")]
+    id: String,
+}
+
+/// Reads the entries one by one: what cannot be read is never held as a whole.
+fn read_entries<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<ListEntry>, D::Error> {
+    struct EntriesVisitor;
+
+    impl<'de> Visitor<'de> for EntriesVisitor {
+        type Value = Vec<ListEntry>;
+
+        fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+            write!(formatter, "at most {MAX_ENTRIES} entries")
+        }
+
+        fn visit_seq<A: SeqAccess<'de>>(self, mut sequence: A) -> Result<Vec<ListEntry>, A::Error> {
+            let mut entries = Vec::new();
+            while let Some(entry) = sequence.next_element::<Box<RawValue>>()? {
+                if entries.len() == MAX_ENTRIES {
+                    return Err(A::Error::invalid_length(MAX_ENTRIES + 1, &self));
+                }
+                entries.push(ListEntry::read(entry.get()));
+            }
+            Ok(entries)
+        }
+    }
+
+    deserializer.deserialize_seq(EntriesVisitor)
 }
 
 #[derive(Deserialize)]
@@ -75,16 +119,24 @@
 }
 
 impl ListEntry {
+    fn read(text: &str) -> ListEntry {
+        serde_json::from_str(text).map_or_else(
+            |_| ListEntry::Unreadable {
+                instance: serde_json::from_str(text).ok().map(|named: NamedEntry| named.id),
+                text: text.chars().take(MAX_LOGGED_CHARACTERS).collect(),
+            },
+            ListEntry::Readable,
+        )
+    }
+
     /// The endpoint; none if the entry does not name its instance.
     fn into_endpoint(self) -> Option<Endpoint> {
         match self {
             ListEntry::Readable(instance) => Some(instance.into_endpoint()),
-            ListEntry::Unreadable(value) => {
-                let Some(name) = value.get("instanceId").and_then(serde_json::Value::as_str) else {
-                    log_line!("discovery: ignored an entry without an instanceId: {value}");
-                    return None;
-                };
-                Some(unreadable_endpoint(name, &value))
+            ListEntry::Unreadable { instance: Some(name), text } => Some(unreadable_endpoint(&name, &text)),
+            ListEntry::Unreadable { instance: None, text } => {
+                log_line!("discovery: ignored an entry without an instanceId: {text}");
+                None
             }
         }
     }
--- a/crates/proxy/tests/discovery.rs
+++ b/crates/proxy/tests/discovery.rs
@@ -3,6 +3,8 @@
 mod common;
 
 use std::io::Write;
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use common::*;
@@ -233,3 +235,44 @@
     answer(&mut connection, "200 OK", "", list(7, true, &[]).as_bytes());
     assert!(read(&mut connection).expect("a call").first_line().contains("index=7&"));
 }
+
+/// The most memory, in kB, that a balancer takes while discovery answers a few calls by `noise`.
+fn peak_memory(noise: fn(&mut TcpStream)) -> u64 {
+    let upstream = Peer::new();
+    let discovery = Peer::new();
+    let address = discovery.address;
+    let calls = discovery.serve(move |_, stream| noise(stream));
+    let setup = Setup { memory: 32, drain_grace_ms: 2500, ..Setup::knowing(&[upstream.address]) };
+    let balancer = Setup { discovery: Some(address), ..setup }.start();
+    // Calls follow each other, two at once at the most.
+    for _ in 0..6 {
+        calls.recv_timeout(LONG).expect("a call");
+    }
+    let status = std::fs::read_to_string(format!("/proc/{}/status", balancer.child.id())).expect("it runs");
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a line");
+    peak.trim().trim_end_matches(" kB").parse().expect("a number")
+}
+
+const LIST_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\n\r\n{\"generation\":42,\"instances\":[";
+const POOR_ENTRY: &[u8] = b"{\"instanceId\":\"a\"},";
+
+#[test]
+fn noise_from_discovery_stays_within_the_memory() {
+    let without_end = peak_memory(|stream| {
+        let _ = stream.write_all(LIST_HEAD);
+        while stream.write_all(&POOR_ENTRY.repeat(512)).is_ok() {}
+    });
+    assert!(without_end < 32 * 1024, "{without_end} kB");
+    for entries in [16_000, 190_000, 400_000] {
+        NOISE_ENTRIES.store(entries, Ordering::Relaxed);
+        let of_poor_entries = peak_memory(|stream| {
+            let entries = POOR_ENTRY.repeat(NOISE_ENTRIES.load(Ordering::Relaxed));
+            let _ = stream.write_all(&[LIST_HEAD, &entries, b"{}]}"].concat());
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        });
+        assert!(of_poor_entries < 32 * 1024, "{entries} entries: {of_poor_entries} kB");
+    }
+}
+
+/// Entries of the next list without content.
+static NOISE_ENTRIES: AtomicUsize = AtomicUsize::new(0);
--- a/crates/proxy/tests/system_calls.rs
+++ b/crates/proxy/tests/system_calls.rs
@@ -120,7 +120,7 @@
 fn a_log_that_nobody_reads_delays_nothing() {
     let (_reader, mut writer) = std::io::pipe().expect("a pipe");
     // As much as a pipe holds: the next write waits.
-    writer.write_all(&[b'x'; 65_536]).expect("there is room");
+    writer.write_all(&vec![b'x'; 65_536]).expect("there is room");
     serves_with_log(Stdio::from(writer));
 }
 
