End a process whose fault plan is misspelt

Cause: an entry of the plan that could not be parsed was left out, so that a test with a misspelt fault passed with none. Change: it ends the process with the entry in its message.

--- a/crates/fault-injection/src/plan.rs
+++ b/crates/fault-injection/src/plan.rs
@@ -36,7 +36,8 @@
     PLAN.get_or_init(|| {
         let text = std::env::var(PLAN_VARIABLE).unwrap_or_default();
         let switch = std::env::var(SWITCH_VARIABLE).ok().and_then(|path| CString::new(path).ok());
-        Plan { entries: text.split(',').filter_map(parse_entry).collect(), switch }
+        let entries = text.split(',').filter(|entry| !entry.is_empty()).map(parse_or_panic).collect();
+        Plan { entries, switch }
     })
 }
 
@@ -81,7 +82,13 @@
     }
 }
 
-/// Parses one entry. The plan is written by tests: one that says nothing is a mistake there.
+/// Parses one entry. The plan is written by tests: a misspelt one would let them pass with no fault at all, so it ends
+/// the process.
+fn parse_or_panic(text: &str) -> Entry {
+    parse_entry(text)
+        .unwrap_or_else(|| panic!("{PLAN_VARIABLE}: {text:?} is no fault; see the documentation of the plan"))
+}
+
 fn parse_entry(text: &str) -> Option<Entry> {
     let (call, fault) = text.split_once(':')?;
     let fault = if call == "clock" {
