--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -9,7 +9,7 @@
 
 use crate::Verdict;
 use crate::client::{Connection, End, Seen, new_id};
-use crate::platform::{Balancer, SIGCONT, SIGSTOP, Shared, Upstream};
+use crate::platform::{Balancer, SIGCONT, SIGKILL, SIGSTOP, SIGTERM, Shared, Upstream};
 use crate::record::Record;
 use crate::upstream::body_for;
 
@@ -214,3 +214,67 @@
     let (all, lost) = *counts.lock().expect("no thread panics");
     Ok(Verdict { broken: lost, summary: format!("{lost} of {all} requests neither answered nor ended in time") })
 }
+
+/// Uploads at the pace of a slow client while the balancer is restarted as planned.
+pub fn shutdown(root: &Path, trouble: bool, record: &Record) -> Result<Verdict, String> {
+    const DEADLINE_MS: u64 = 4000;
+    const UPLOADS: usize = 12;
+    const BODY: usize = 110_000;
+    const BYTES_PER_SECOND: usize = 64_000;
+    /// The longest deadline, counted as 3 s, and 0.7 s more.
+    const KILL_AFTER: Duration = Duration::from_millis(3700);
+    /// What came up to this time after SIGTERM may be unanswered at SIGKILL.
+    const EXCUSED: Duration = Duration::from_millis(700);
+    let upstreams = start_upstreams(3, 2400, 0, "none", 0, record);
+    let mut balancer = Balancer::start(root, &upstreams, record)?;
+    let address = balancer.address;
+    let all: Shared<Vec<(String, Seen)>> = Arc::default();
+    let mut threads = Vec::new();
+    for _ in 0..UPLOADS {
+        let (all, record) = (all.clone(), record.clone());
+        threads.push(spawn(move || {
+            let id = new_id();
+            let Ok(mut connection) = Connection::open(address) else { return };
+            record.line(&format!(
+                "begins {id}: POST post-ad, body {BODY} bytes at {BYTES_PER_SECOND} a second, Req-Deadline-Ms {DEADLINE_MS}"
+            ));
+            let seen = connection.post_slowly(&id, BODY, BYTES_PER_SECOND, DEADLINE_MS, Duration::from_secs(8));
+            let taken = if seen.written.is_some() { "last byte written" } else { "last byte not written" };
+            record.line(&format!("end of {id} ({taken}): {}", seen.describe()));
+            all.lock().expect("no thread panics").push((id, seen));
+        }));
+        sleep(Duration::from_millis(30));
+    }
+    sleep(Duration::from_millis(50));
+    let terminated = Instant::now();
+    if trouble {
+        balancer.signal(SIGTERM);
+        record.line("SIGTERM to the balancer");
+        sleep(KILL_AFTER.saturating_sub(terminated.elapsed()));
+        balancer.signal(SIGKILL);
+        record.line(&format!("SIGKILL to the balancer, {} ms after SIGTERM", terminated.elapsed().as_millis()));
+    }
+    for thread in threads {
+        thread.join().map_err(|_| "a client panicked")?;
+    }
+    balancer.copy_log(record);
+    let all = all.lock().expect("no thread panics");
+    let (mut counted, mut broken) = (0, 0);
+    for (id, seen) in all.iter() {
+        let Some(written) = seen.written else { continue };
+        let came = written.saturating_duration_since(terminated);
+        if trouble && came <= EXCUSED + SLACK {
+            record.line(&format!("excused: {id} came {} ms after SIGTERM", came.as_millis()));
+            continue;
+        }
+        counted += 1;
+        if !matches!(seen.end, End::Answer(..)) {
+            broken += 1;
+            record.line(&format!("LOST: {id} came {} ms after SIGTERM: {}", came.as_millis(), seen.describe()));
+        }
+    }
+    if counted == 0 {
+        return Err("no upload was written whole at the time that counts".to_owned());
+    }
+    Ok(Verdict { broken, summary: format!("{broken} of {counted} uploads taken have no final answer") })
+}
--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -86,9 +86,34 @@
         self.send(&message, write_for, watch)
     }
 
+    /// Sends a request of a keyed class with a body of `length` bytes, written at `bytes_per_second`.
+    pub fn post_slowly(&mut self, id: &str, length: usize, bytes_per_second: usize, deadline_ms: u64, watch: Duration) -> Seen {
+        let head = format!(
+            "POST /api HTTP/1.1\r\nHost: backend.local\r\nReq-Id: {id}\r\nReq-Kind: post-ad\r\n\
+             Req-Owner: marche-dakar\r\nReq-Deadline-Ms: {deadline_ms}\r\nIdempotency-Key: {id}{id}\r\n\
+             Content-Length: {length}\r\n\r\n"
+        );
+        let start = Instant::now();
+        let mut written = self.stream.write_all(head.as_bytes()).is_ok();
+        let mut sent = 0;
+        while written && sent < length {
+            let piece = (bytes_per_second / 20).min(length - sent);
+            let due = start + Duration::from_secs_f64((sent + piece) as f64 / bytes_per_second as f64);
+            std::thread::sleep(due.saturating_duration_since(Instant::now()));
+            written = self.stream.write_all(&vec![b'x'; piece]).is_ok();
+            sent += piece;
+        }
+        self.watch(written.then(Instant::now), watch)
+    }
+
     fn send(&mut self, message: &[u8], write_for: Duration, watch: Duration) -> Seen {
         let _ = self.stream.set_write_timeout(Some(write_for));
         let written = self.stream.write_all(message).is_ok().then(Instant::now);
+        self.watch(written, watch)
+    }
+
+    /// Reads the answer, for at most `watch` from the last byte of the request on.
+    fn watch(&mut self, written: Option<Instant>, watch: Duration) -> Seen {
         let until = written.unwrap_or_else(Instant::now) + if written.is_some() { watch } else { Duration::ZERO };
         let _ = self.stream.set_read_timeout(Some(watch.max(Duration::from_millis(1))));
         let end = loop {
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -38,6 +38,7 @@
     let result = match case.as_str() {
         "upload" => cases::upload(&root, trouble, &record),
         "second" => cases::second_answer(&root, trouble, &record),
+        "shutdown" => cases::shutdown(&root, trouble, &record),
         "endless" => cases::endless_answer(&root, trouble, &record),
         _ => Err("unknown case".to_owned()),
     };
--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -15,6 +15,8 @@
     fn kill(process: i32, signal: i32) -> i32;
 }
 
+pub const SIGKILL: i32 = 9;
+pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
 
@@ -173,6 +175,14 @@
         Ok(balancer)
     }
 
+    /// Sends a signal to the program that `run` started: the shell has become it by `exec`.
+    pub fn signal(&mut self, signal: i32) {
+        // A process that was waited for is not signalled: its id may belong to another one.
+        if matches!(self.child.try_wait(), Ok(None)) {
+            send_signal(&self.child, signal);
+        }
+    }
+
     /// Copies the balancer's log to the record.
     pub fn copy_log(&mut self, record: &Record) {
         if let Ok(Some(status)) = self.child.try_wait() {
