--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -1,9 +1,10 @@
 //! The cases: what is sent, what is disturbed, and the check.
 
+use std::collections::HashMap;
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::path::Path;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
@@ -120,10 +121,11 @@
     let mut balancer = Balancer::start(root, &upstreams, record)?;
     let address = balancer.address;
     let until = Instant::now() + Duration::from_secs(20);
-    let counts: Shared<(usize, usize, usize)> = Arc::new(Mutex::new((0, 0, 0)));
+    let counts: Shared<(usize, usize, usize, usize)> = Arc::default();
+    let owners: Shared<HashMap<String, usize>> = Arc::default();
     let threads: Vec<_> = (0..CLIENTS)
         .map(|client| {
-            let (counts, record) = (counts.clone(), record.clone());
+            let (counts, owners, record) = (counts.clone(), owners.clone(), record.clone());
             spawn(move || {
                 let mut connection = None;
                 let mut turn = client as u64;
@@ -131,16 +133,20 @@
                     let Some(open) = connection.take().or_else(|| Connection::open(address).ok()) else { continue };
                     let mut open: Connection = open;
                     let id = new_id();
-                    record.line(&format!("sent {id}: GET view-ad"));
+                    record.line(&format!("sent {id}: GET view-ad, client {client}"));
+                    owners.lock().expect("no thread panics").insert(id.clone(), client);
                     let seen = open.get(&id, "view-ad", 2000, Duration::from_secs(3));
                     record.line(&format!("end of {id}: {}", seen.describe()));
                     let mut counts = counts.lock().expect("no thread panics");
                     counts.0 += 1;
                     match &seen.end {
                         End::Answer(200, body) if *body == body_for(&id).into_bytes() => connection = Some(open),
-                        End::Answer(200, _) => {
+                        End::Answer(200, body) => {
                             counts.1 += 1;
-                            record.line(&format!("FOREIGN: {id}: {}", seen.describe()));
+                            let made_for = String::from_utf8_lossy(body).trim().replace("made for ", "");
+                            let owner = owners.lock().expect("no thread panics").get(&made_for).copied();
+                            counts.3 += usize::from(owner.is_some_and(|owner| owner != client));
+                            record.line(&format!("FOREIGN: {id} of client {client}: {}; that is a request of client {owner:?}", seen.describe()));
                             connection = Some(open);
                         }
                         End::Answer(..) => counts.2 += 1,
@@ -158,13 +164,16 @@
         thread.join().map_err(|_| "a client panicked")?;
     }
     balancer.copy_log(record);
-    let (all, foreign, failed) = *counts.lock().expect("no thread panics");
+    let (all, foreign, failed, other_client) = *counts.lock().expect("no thread panics");
     if all < 500 {
         return Err(format!("only {all} requests were answered"));
     }
     Ok(Verdict {
         broken: foreign,
-        summary: format!("{foreign} of {all} requests were served with the answer to another request ({failed} failed)"),
+        summary: format!(
+            "{foreign} of {all} requests were served with the answer to another request, {other_client} of them with one \
+             for another client ({failed} failed or refused)"
+        ),
     })
 }
 
