--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -19,7 +19,14 @@
 /// The protocol page: on sockets each time limit grows by this much.
 const SLACK: Duration = Duration::from_millis(50);
 
-fn start_upstreams(count: usize, work_ms: u64, spoilt: u64, kind: &str, late_ms: u64, record: &Record) -> Vec<Upstream> {
+fn start_upstreams(
+    count: usize,
+    work_ms: u64,
+    spoilt: u64,
+    kind: &str,
+    late_ms: u64,
+    record: &Record,
+) -> Vec<Upstream> {
     (0..count)
         .map(|index| Upstream::start(&format!("s-{index}"), work_ms, spoilt, kind, late_ms, record))
         .collect()
@@ -75,7 +82,9 @@
         threads.push(spawn(move || {
             let id = new_id();
             let Ok(mut connection) = Connection::open(address) else { return };
-            record.line(&format!("sent {id}: POST post-ad, body {length} bytes, Req-Deadline-Ms {DEADLINE_MS}"));
+            record.line(&format!(
+                "sent {id}: POST post-ad, body {length} bytes, Req-Deadline-Ms {DEADLINE_MS}"
+            ));
             let seen = connection.post(&id, length, DEADLINE_MS, Duration::from_secs(5), watch);
             let taken = if seen.written.is_some() { "last byte written" } else { "last byte not written" };
             record.line(&format!("end of {id} (body {length} bytes, {taken}): {}", seen.describe()));
@@ -130,7 +139,9 @@
                 let mut connection = None;
                 let mut turn = client as u64;
                 while Instant::now() < until {
-                    let Some(open) = connection.take().or_else(|| Connection::open(address).ok()) else { continue };
+                    let Some(open) = connection.take().or_else(|| Connection::open(address).ok()) else {
+                        continue;
+                    };
                     let mut open: Connection = open;
                     let id = new_id();
                     record.line(&format!("sent {id}: GET view-ad, client {client}"));
@@ -140,13 +151,18 @@
                     let mut counts = counts.lock().expect("no thread panics");
                     counts.0 += 1;
                     match &seen.end {
-                        End::Answer(200, body) if *body == body_for(&id).into_bytes() => connection = Some(open),
+                        End::Answer(200, body) if *body == body_for(&id).into_bytes() => {
+                            connection = Some(open)
+                        }
                         End::Answer(200, body) => {
                             counts.1 += 1;
                             let made_for = String::from_utf8_lossy(body).trim().replace("made for ", "");
                             let owner = owners.lock().expect("no thread panics").get(&made_for).copied();
                             counts.3 += usize::from(owner.is_some_and(|owner| owner != client));
-                            record.line(&format!("FOREIGN: {id} of client {client}: {}; that is a request of client {owner:?}", seen.describe()));
+                            record.line(&format!(
+                                "FOREIGN: {id} of client {client}: {}; that is a request of client {owner:?}",
+                                seen.describe()
+                            ));
                             connection = Some(open);
                         }
                         End::Answer(..) => counts.2 += 1,
@@ -154,7 +170,8 @@
                     }
                     drop(counts);
                     // A pause of 0 to 30 ms between two requests.
-                    turn = turn.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+                    turn =
+                        turn.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
                     sleep(Duration::from_millis((turn >> 33) % 31));
                 }
             })
@@ -194,7 +211,9 @@
             spawn(move || {
                 let mut connection = None;
                 while Instant::now() < until {
-                    let Some(open) = connection.take().or_else(|| Connection::open(address).ok()) else { continue };
+                    let Some(open) = connection.take().or_else(|| Connection::open(address).ok()) else {
+                        continue;
+                    };
                     let mut open: Connection = open;
                     let id = new_id();
                     record.line(&format!("sent {id}: GET view-ad, Req-Deadline-Ms {DEADLINE_MS}"));
@@ -221,7 +240,10 @@
     }
     balancer.copy_log(record);
     let (all, lost) = *counts.lock().expect("no thread panics");
-    Ok(Verdict { broken: lost, summary: format!("{lost} of {all} requests neither answered nor ended in time") })
+    Ok(Verdict {
+        broken: lost,
+        summary: format!("{lost} of {all} requests neither answered nor ended in time"),
+    })
 }
 
 /// Uploads at the pace of a slow client while the balancer is restarted as planned.
@@ -261,7 +283,8 @@
         record.line("SIGTERM to the balancer");
         sleep(KILL_AFTER.saturating_sub(terminated.elapsed()));
         balancer.signal(SIGKILL);
-        record.line(&format!("SIGKILL to the balancer, {} ms after SIGTERM", terminated.elapsed().as_millis()));
+        record
+            .line(&format!("SIGKILL to the balancer, {} ms after SIGTERM", terminated.elapsed().as_millis()));
     }
     for thread in threads {
         thread.join().map_err(|_| "a client panicked")?;
@@ -279,7 +302,11 @@
         counted += 1;
         if !matches!(seen.end, End::Answer(..)) {
             broken += 1;
-            record.line(&format!("LOST: {id} came {} ms after SIGTERM: {}", came.as_millis(), seen.describe()));
+            record.line(&format!(
+                "LOST: {id} came {} ms after SIGTERM: {}",
+                came.as_millis(),
+                seen.describe()
+            ));
         }
     }
     if counted == 0 {
--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -75,7 +75,14 @@
     }
 
     /// Sends a request of a keyed class with a body of `length` bytes.
-    pub fn post(&mut self, id: &str, length: usize, deadline_ms: u64, write_for: Duration, watch: Duration) -> Seen {
+    pub fn post(
+        &mut self,
+        id: &str,
+        length: usize,
+        deadline_ms: u64,
+        write_for: Duration,
+        watch: Duration,
+    ) -> Seen {
         let head = format!(
             "POST /api HTTP/1.1\r\nHost: backend.local\r\nReq-Id: {id}\r\nReq-Kind: post-ad\r\n\
              Req-Owner: marche-dakar\r\nReq-Deadline-Ms: {deadline_ms}\r\nIdempotency-Key: {id}{id}\r\n\
@@ -87,7 +94,14 @@
     }
 
     /// Sends a request of a keyed class with a body of `length` bytes, written at `bytes_per_second`.
-    pub fn post_slowly(&mut self, id: &str, length: usize, bytes_per_second: usize, deadline_ms: u64, watch: Duration) -> Seen {
+    pub fn post_slowly(
+        &mut self,
+        id: &str,
+        length: usize,
+        bytes_per_second: usize,
+        deadline_ms: u64,
+        watch: Duration,
+    ) -> Seen {
         let head = format!(
             "POST /api HTTP/1.1\r\nHost: backend.local\r\nReq-Id: {id}\r\nReq-Kind: post-ad\r\n\
              Req-Owner: marche-dakar\r\nReq-Deadline-Ms: {deadline_ms}\r\nIdempotency-Key: {id}{id}\r\n\
@@ -114,7 +128,8 @@
 
     /// Reads the answer, for at most `watch` from the last byte of the request on.
     fn watch(&mut self, written: Option<Instant>, watch: Duration) -> Seen {
-        let until = written.unwrap_or_else(Instant::now) + if written.is_some() { watch } else { Duration::ZERO };
+        let until =
+            written.unwrap_or_else(Instant::now) + if written.is_some() { watch } else { Duration::ZERO };
         let _ = self.stream.set_read_timeout(Some(watch.max(Duration::from_millis(1))));
         let end = loop {
             let result = self.reader.head().and_then(|head| Ok((head.status(), self.reader.body(&head)?)));
--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -29,7 +29,14 @@
 
 impl Upstream {
     /// Starts an upstream. What it runs goes to the record.
-    pub fn start(name: &str, work_ms: u64, spoilt_one_in: u64, kind: &str, late_ms: u64, record: &Record) -> Upstream {
+    pub fn start(
+        name: &str,
+        work_ms: u64,
+        spoilt_one_in: u64,
+        kind: &str,
+        late_ms: u64,
+        record: &Record,
+    ) -> Upstream {
         let numbers = [work_ms, spoilt_one_in, late_ms].map(|number| number.to_string());
         let mut child = Command::new(std::env::current_exe().expect("the program's path is known"))
             .args(["upstream", name, &numbers[0], &numbers[1], kind, &numbers[2]])
@@ -137,9 +144,11 @@
 impl Balancer {
     /// Starts the balancer before these upstreams and waits until it is ready.
     pub fn start(root: &Path, upstreams: &[Upstream], record: &Record) -> Result<Balancer, String> {
+        let run = run_command(root)?;
         let discovery = start_discovery(upstreams);
         let folder = std::env::temp_dir().join(format!("zincstand-review-{}", std::process::id()));
-        std::fs::create_dir_all(folder.join("tmp")).map_err(|error| format!("no temporary folder: {error}"))?;
+        std::fs::create_dir_all(folder.join("tmp"))
+            .map_err(|error| format!("no temporary folder: {error}"))?;
         let address = free_address();
         let config = format!(
             "{{\"name\":\"n1\",\"listen\":\"{address}\",\"discovery\":\"{discovery}\",\"seed\":\"8c1f30d27a5be964\",\
@@ -151,7 +160,7 @@
         let log = std::fs::File::create(&log_path).map_err(|error| format!("no log file: {error}"))?;
         let child = Command::new("/bin/sh")
             .arg("-c")
-            .arg(run_command(root)?)
+            .arg(run)
             .current_dir(root)
             .env("EDGE_NAME", "n1")
             .env("EDGE_LISTEN", address.to_string())
@@ -204,13 +213,17 @@
 
 /// The value of `run` in the deploy file.
 fn run_command(root: &Path) -> Result<String, String> {
-    let text = std::fs::read_to_string(root.join("deploy/balancer.toml")).map_err(|error| error.to_string())?;
-    let line = text.lines().find_map(|line| line.strip_prefix("run = ")).ok_or("the deploy file has no run line")?;
+    let text =
+        std::fs::read_to_string(root.join("deploy/balancer.toml")).map_err(|error| error.to_string())?;
+    let line =
+        text.lines().find_map(|line| line.strip_prefix("run = ")).ok_or("the deploy file has no run line")?;
     Ok(line.split('"').nth(1).ok_or("run is not a string")?.to_owned())
 }
 
 fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a loopback port is free")
+    TcpListener::bind("127.0.0.1:0")
+        .and_then(|listener| listener.local_addr())
+        .expect("a loopback port is free")
 }
 
 fn is_ready(address: SocketAddr) -> bool {
--- a/review/standins/upstream.rs
+++ b/review/standins/upstream.rs
@@ -29,8 +29,12 @@
 /// Serves until the process is killed. The first line of output is the address.
 pub fn run(arguments: &[String]) {
     let number = |index: usize| arguments[index].parse().expect("a number");
-    let behaviour =
-        Behaviour { work_ms: number(1), spoilt_one_in: number(2), kind: arguments[3].clone(), late_ms: number(4) };
+    let behaviour = Behaviour {
+        work_ms: number(1),
+        spoilt_one_in: number(2),
+        kind: arguments[3].clone(),
+        late_ms: number(4),
+    };
     let name = arguments[0].clone();
     let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
     println!("{}", listener.local_addr().expect("the address is known"));
@@ -69,7 +73,10 @@
         println!("{name} ran {id} body {} bytes, answer {note}", body.len());
         if spoilt && behaviour.kind == "endless" {
             let text = body_for(&id);
-            let begun = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{text}\r\n", text.len());
+            let begun = format!(
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{text}\r\n",
+                text.len()
+            );
             // The end of the answer never comes. The connection stays open, until the other side closes it.
             if write(&writer, begun.as_bytes()).is_err() || reader.head().is_err() {
                 return;
