Bound the time of an upload whose upstream reads no more

Cause: all time limits of a streamed request began when the balancer had read its last byte. A hanging upstream keeps the balancer from reading, and the last byte then lies in the kernel's buffers, where the client's time runs. The dispatcher set no timer, the policy took the time of the request's arrival for the present, and the limit on the client's pace was suspended. The same held for an upload that no upstream may take: with an empty list a POST of 200,000 bytes waited for good, and was sent with its whole time once a list came.

Now the time counts from the last moment at which the proxy waited for the client: what came since is unread, and may hold the last byte. While more is to follow than the kernel holds for a client, each part that the upstream takes counts as such a moment. A request fails at the deadline that follows from this, and its attempt is aborted, as it is when its client leaves; the timer is set anew while the client sends. The policy counts the time of an upload in its queue, and is told what is left when the body is complete.

--- a/crates/policy/src/balancer/admit.rs
+++ b/crates/policy/src/balancer/admit.rs
@@ -2,7 +2,7 @@
 
 use super::Balancer;
 use crate::admission;
-use crate::event::{Action, RequestId};
+use crate::event::{Action, Micros, RequestId};
 use crate::request::{NewRequest, Request};
 use crate::time_limits;
 
@@ -25,13 +25,14 @@
         }
     }
 
-    /// Starts the clock of a request whose body is complete, and gives its attempt a slot.
+    /// Starts the clock of a request whose body is complete, and gives its attempt a slot. The client still
+    /// waits for `time_left`.
     ///
     /// Until then the request causes the server no work: a slow upload must neither occupy a slot nor count
     /// as latency of the server.
-    pub(super) fn complete_body(&mut self, id: RequestId) {
+    pub(super) fn complete_body(&mut self, id: RequestId, time_left: Micros) {
         if let Some(request) = self.requests.get_mut(&id).filter(|request| request.body_pending()) {
-            request.complete_body(self.context.now());
+            request.complete_body(self.context.now(), time_left);
             self.fleet.take_slot_by_id(request.current_server());
         }
     }
--- a/crates/policy/src/balancer/complete.rs
+++ b/crates/policy/src/balancer/complete.rs
@@ -24,6 +24,9 @@
         } else {
             self.latencies.record(&self.context.settings, request, &end)
         };
+        if matches!(end.continuation, Continuation::FinalResponseOnly) {
+            request.mark_body_consumed();
+        }
         if let Some(attempt) = request.end_attempt(end.outcome) {
             // Without a queue signal the attempt was too short to show whether its server is slow, so its
             // timeout does not count against it.
--- a/crates/policy/src/balancer/mod.rs
+++ b/crates/policy/src/balancer/mod.rs
@@ -124,7 +124,7 @@
             Event::Request { id, class, time_left, work, body_pending, .. } => {
                 self.admit(id, &NewRequest { class, time_left, work, body_pending });
             }
-            Event::BodyComplete { request } => self.complete_body(request),
+            Event::BodyComplete { request, time_left } => self.complete_body(request, time_left),
             Event::Outcome { request, server, outcome, latency, finished, body_consumed, .. } => {
                 let continuation = Continuation::new(finished, body_consumed);
                 self.record_outcome(request, AttemptEnd::new(server, outcome, latency, continuation));
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -145,7 +145,7 @@
         id: RequestId,
         /// Class of the request. A request of an unknown class fails at once.
         class: ClassId,
-        /// How long the client still waits.
+        /// How long the client still waits; if the body is pending, from its last byte on.
         time_left: Micros,
         /// Tenant of the request, `None` where the service is not shared.
         tenant: Option<TenantId>,
@@ -153,14 +153,16 @@
         work: Option<Micros>,
         /// The client marks the request as a retry.
         marked_retry: bool,
-        /// The body has not arrived completely, and is forwarded as it arrives. The time limits of the
-        /// request start with [`Event::BodyComplete`]; its server does no work for it before then.
+        /// The body has not arrived completely, and is forwarded as it arrives. The caller bounds the time of
+        /// an attempt until [`Event::BodyComplete`]; its server does no work for it before then.
         body_pending: bool,
     },
     /// The last byte of a pending body arrived.
     BodyComplete {
         /// The request.
         request: RequestId,
+        /// How long the client still waits.
+        time_left: Micros,
     },
     /// The first byte of a streamed response arrived. From then on the attempt has no time limit and is not
     /// retried.
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -25,9 +25,11 @@
     last_server: Option<ServerId>,
     /// Time before which no retry is sent.
     not_before: Micros,
-    /// Whether its body has not arrived completely. Until it has, the duration of the request does not count,
-    /// and its attempt takes no slot.
+    /// Whether its body has not arrived completely. Until it has, its attempt takes no slot, and the duration
+    /// of the attempt does not count.
     body_pending: bool,
+    /// Whether an attempt has forwarded a part of the body that is not retained.
+    body_consumed: bool,
 }
 
 /// A request at its arrival.
@@ -59,6 +61,7 @@
             last_server: None,
             not_before: now,
             body_pending: new.body_pending,
+            body_consumed: false,
         }
     }
 
@@ -127,10 +130,14 @@
         self.body_pending
     }
 
-    /// Returns the time that its time limits are compared with: `now`, or its arrival while its body is
-    /// pending.
+    /// Returns the time that its time limits are compared with: `now`, or its arrival once an attempt forwards
+    /// its pending body.
+    ///
+    /// While it waits for an attempt, its time counts although the body is pending: nobody reads the body, so
+    /// its last byte may have arrived.
     pub fn effective_now(&self, now: Micros) -> Micros {
-        if self.body_pending { self.started_at } else { now }
+        let is_forwarding = self.attempt.is_some() || self.body_consumed;
+        if self.body_pending && is_forwarding { self.started_at } else { now }
     }
 
     /// Records the start of an attempt.
@@ -166,14 +173,19 @@
         self.not_before = time;
     }
 
+    /// Records that an attempt has forwarded a part of its body that is not retained.
+    pub fn mark_body_consumed(&mut self) {
+        self.body_consumed = true;
+    }
+
     /// Records that its body has arrived completely: its duration counts from `now`, so its deadlines move by
-    /// the duration of the upload.
-    pub fn complete_body(&mut self, now: Micros) {
+    /// the duration of the upload. Its client waits for `time_left` at most.
+    pub fn complete_body(&mut self, now: Micros, time_left: Micros) {
         let upload_time = now - self.started_at;
         self.started_at = now;
         self.body_pending = false;
-        self.useful_until += upload_time;
-        self.deadline += upload_time;
+        self.deadline = now + time_left;
+        self.useful_until = (self.useful_until + upload_time).min(self.deadline);
         if let Some(attempt) = &mut self.attempt {
             attempt.placement.sent_at = now;
         }
--- a/crates/policy/tests/common/simulation.rs
+++ b/crates/policy/tests/common/simulation.rs
@@ -237,15 +237,21 @@
         id
     }
 
-    /// Delivers the last byte of a pending body.
+    /// Delivers the last byte of a pending body. The client waits for the deadline of the class from now on.
     pub fn complete_body(&mut self, request: RequestId) {
+        let class = self.open[&request].class;
+        self.complete_body_with(request, self.settings.classes[class].deadline);
+    }
+
+    /// Delivers the last byte of a pending body, whose client still waits for `time_left`.
+    pub fn complete_body_with(&mut self, request: RequestId, time_left: Micros) {
         let now = self.now;
         let open = self.open.get_mut(&request).expect("the request is open");
-        open.deadline = now + self.settings.classes[open.class].deadline;
+        open.deadline = now + time_left;
         for attempt in self.in_flight.iter_mut().filter(|attempt| attempt.request == request) {
             attempt.sent_at = now;
         }
-        self.handle(Event::BodyComplete { request });
+        self.handle(Event::BodyComplete { request, time_left });
     }
 
     /// Ends an attempt.
--- a/crates/policy/tests/decisions/pending_body.rs
+++ b/crates/policy/tests/decisions/pending_body.rs
@@ -1,7 +1,7 @@
 //! Requests whose body has not arrived completely.
 
-use crate::common::SECOND;
-use crate::helpers::simulation;
+use crate::common::{MS, SECOND, ok_after};
+use crate::helpers::{last_in_flight, simulation};
 use zincstand_policy::{Idempotency, Outcome};
 
 #[test]
@@ -51,3 +51,26 @@
     }
     assert_eq!(simulation.sends[&0], 52);
 }
+
+#[test]
+fn a_request_with_a_pending_body_is_rejected_in_time_while_no_server_may_take_it() {
+    let mut simulation = simulation(&[Idempotency::NotIdempotent], 0);
+    let upload = simulation.request_with_pending_body(0);
+    let deadline = simulation.settings.classes[0].deadline;
+    simulation.run_for(deadline, |_| ok_after(MS));
+    assert_eq!(simulation.rejected.len() + simulation.failed.len(), 1, "the upload waits without a limit");
+    assert!(!simulation.is_open(upload));
+}
+
+#[test]
+fn a_body_whose_last_byte_arrived_earlier_leaves_only_the_rest_of_the_time() {
+    let mut simulation = simulation(&[Idempotency::Idempotent], 3);
+    let upload = simulation.request_with_pending_body(0);
+    let first = last_in_flight(&simulation);
+    simulation.complete_body_with(upload, 300 * MS);
+    simulation.end(&first, Outcome::ConnectFailed);
+    simulation.run_for(50 * MS, |_| ok_after(SECOND));
+    let retry = last_in_flight(&simulation);
+    assert_eq!(retry.request, upload);
+    assert!(retry.limit < 300 * MS, "the retry may take {} µs", retry.limit);
+}
--- a/crates/proxy/src/dispatch/active_request.rs
+++ b/crates/proxy/src/dispatch/active_request.rs
@@ -53,10 +53,12 @@
     pub(super) time_limit: Micros,
 }
 
-/// The timers to set once the body of a request is complete.
+/// The time limits of a request whose body is now complete.
 pub(super) struct BodyCompletion {
     /// The client's deadline, in microseconds of Unix time.
     pub(super) deadline: Micros,
+    /// How long the client still waits, in microseconds.
+    pub(super) time_left: Micros,
     /// The limits of the attempts in flight, in the order in which the request holds them.
     pub(super) attempt_limits: Vec<AttemptLimit>,
 }
@@ -81,8 +83,9 @@
     request: Rc<T::Request>,
     /// Sends the final response. `None` once it was sent or the client disconnected.
     responder: Option<Responder<T::Response>>,
-    /// The client's deadline, in microseconds of Unix time. `None` while the request's body is still arriving.
-    deadline: Option<Micros>,
+    /// The client's deadline, in microseconds of Unix time. `None` while the request's body is still arriving; see
+    /// [`deadline`](Self::deadline).
+    fixed_deadline: Option<Micros>,
     /// How long the client waits from the request's last byte on, in microseconds.
     time_left: Micros,
     /// How many attempts the policy has started.
@@ -93,18 +96,18 @@
 }
 
 impl<T: Transport> ActiveRequest<T> {
-    /// Returns a request without attempts. `deadline` is `None` while its body is still arriving; `time_left` is how
+    /// Returns a request without attempts. `fixed_deadline` is `None` while its body is still arriving; `time_left` is how
     /// long the client waits from the last byte on.
     pub(super) fn new(
         request: T::Request,
         responder: Responder<T::Response>,
-        deadline: Option<Micros>,
+        fixed_deadline: Option<Micros>,
         time_left: Micros,
     ) -> ActiveRequest<T> {
         ActiveRequest {
             request: Rc::new(request),
             responder: Some(responder),
-            deadline,
+            fixed_deadline,
             time_left,
             attempts_started: 0,
             attempts: Vec::new(),
@@ -112,6 +115,22 @@
         }
     }
 
+    /// Returns the client's deadline, in microseconds of Unix time. While the body is still arriving, this is the earliest
+    /// time that it may turn out to be, and it moves with the arriving bytes.
+    pub(super) fn deadline(&self, now: Micros) -> Micros {
+        self.fixed_deadline.unwrap_or_else(|| self.earliest_deadline(now))
+    }
+
+    /// Returns the client's deadline if the last byte of the body arrived as early as it may have.
+    fn earliest_deadline(&self, now: Micros) -> Micros {
+        (now + self.time_left).saturating_sub(T::max_body_age(&self.request))
+    }
+
+    /// Returns whether the body is still arriving.
+    pub(super) fn body_pending(&self) -> bool {
+        self.fixed_deadline.is_none()
+    }
+
     /// Returns whether the transport knows that the client has disconnected.
     pub(super) fn client_disconnected(&self) -> bool {
         T::client_disconnected(&self.request)
@@ -150,8 +169,7 @@
         let now = attempt.started;
         let number = self.attempts_started;
         self.attempts_started += 1;
-        let deadline = self.deadline.unwrap_or(now + self.time_left);
-        let time_left = deadline.saturating_sub(now + DEADLINE_MARGIN);
+        let time_left = self.deadline(now).saturating_sub(now + DEADLINE_MARGIN);
         let time_limit = match attempt.time_limit {
             0 => time_left,
             time_limit => time_limit.min(time_left),
@@ -169,7 +187,7 @@
             id: AttemptId { request: attempt.request, number },
             request: allowed.then(|| self.request.clone()),
             time_limit,
-            limit_runs: self.deadline.is_some(),
+            limit_runs: !self.body_pending(),
         }
     }
 
@@ -200,12 +218,17 @@
         self.attempts.iter_mut().find(|attempt| attempt.number == number)
     }
 
-    /// Starts the time limits of the client and of the attempts in flight, because the last byte of the body has arrived.
-    /// Returns the timers to set for them.
-    pub(super) fn complete_body(&mut self, id: RequestId, now: Micros) -> BodyCompletion {
-        let deadline = now + self.time_left;
-        self.deadline = Some(deadline);
-        let time_left = self.time_left.saturating_sub(DEADLINE_MARGIN);
+    /// Fixes the client's deadline and starts the limits of the attempts in flight, because the last byte of the body was
+    /// read. The request may take `max_time_left` microseconds at most.
+    pub(super) fn complete_body(
+        &mut self,
+        id: RequestId,
+        now: Micros,
+        max_time_left: Micros,
+    ) -> BodyCompletion {
+        let deadline = self.earliest_deadline(now).min(now.saturating_add(max_time_left));
+        self.fixed_deadline = Some(deadline);
+        let time_left = deadline.saturating_sub(now + DEADLINE_MARGIN);
         let mut attempt_limits = Vec::new();
         for attempt in &mut self.attempts {
             attempt.started = now;
@@ -214,7 +237,12 @@
                 time_limit: attempt.time_limit.min(time_left),
             });
         }
-        BodyCompletion { deadline, attempt_limits }
+        BodyCompletion { deadline, time_left: deadline.saturating_sub(now), attempt_limits }
+    }
+
+    /// Returns the numbers of the attempts in flight.
+    pub(super) fn attempts_in_flight(&self) -> impl Iterator<Item = u32> {
+        self.attempts.iter().map(|attempt| attempt.number)
     }
 
     /// Removes an attempt, forwards its response if it has one, and returns the event for the policy. Returns `None`
--- a/crates/proxy/src/dispatch/active_requests.rs
+++ b/crates/proxy/src/dispatch/active_requests.rs
@@ -111,24 +111,43 @@
         self.with_request(result.id.request, |active| active.finish_attempt(now, result))?
     }
 
-    /// Starts the time limits of a request whose body is now complete. Returns the timers to set, or `None` if the
-    /// request is not active any more.
-    pub(super) fn complete_body(&self, id: RequestId, now: Micros) -> Option<BodyCompletion> {
-        self.with_request(id, |active| active.complete_body(id, now))
+    /// Starts the time limits of a request whose body is now complete, and which may take `max_time_left` microseconds at
+    /// most. Returns the limits, or `None` if the request is not active any more.
+    pub(super) fn complete_body(
+        &self,
+        id: RequestId,
+        now: Micros,
+        max_time_left: Micros,
+    ) -> Option<BodyCompletion> {
+        self.with_request(id, |active| active.complete_body(id, now, max_time_left))
+    }
+
+    /// Returns the client's deadline, in microseconds of Unix time; see [`ActiveRequest::deadline`]. `None` if the request
+    /// is not active any more or its client waits no longer.
+    pub(super) fn awaited_deadline(&self, id: RequestId, now: Micros) -> Option<Micros> {
+        self.with_request(id, |active| active.awaits_response().then(|| active.deadline(now)))?
     }
 
-    /// Returns the attempts of one request that have no connection, ordered by number, or no attempts if the client still
-    /// waits for the response.
-    pub(super) fn unconnected_attempts_without_client(&self, id: RequestId) -> Vec<AttemptId> {
-        let attempts = self.with_request(id, |active| {
+    /// Returns whether the body of a request is still arriving. False if the request is not active any more.
+    pub(super) fn body_pending(&self, id: RequestId) -> bool {
+        self.with_request(id, |active| active.body_pending()).unwrap_or(false)
+    }
+
+    /// Returns the attempts of one request that cannot be of use to anybody, ordered by number: all while its body is still
+    /// arriving, and otherwise those without a connection. None if the client still waits for the response.
+    pub(super) fn attempts_without_client(&self, id: RequestId) -> Vec<AttemptId> {
+        let numbers = self.with_request(id, |active| {
             if active.awaits_response() {
-                return Vec::new();
+                Vec::new()
+            } else if active.body_pending() {
+                active.attempts_in_flight().collect()
+            } else {
+                active.unconnected_attempts(|_| true).collect()
             }
-            active.unconnected_attempts(|_| true).map(|number| AttemptId { request: id, number }).collect()
         });
-        let mut attempts = attempts.unwrap_or_default();
-        attempts.sort_unstable();
-        attempts
+        let mut numbers: Vec<u32> = numbers.unwrap_or_default();
+        numbers.sort_unstable();
+        numbers.into_iter().map(|number| AttemptId { request: id, number }).collect()
     }
 
     /// Returns the attempts of all requests that have no connection and go to a target for which `is_selected` returns true,
--- a/crates/proxy/src/dispatch/messages.rs
+++ b/crates/proxy/src/dispatch/messages.rs
@@ -40,7 +40,7 @@
     pub estimated_work: Option<Micros>,
     /// Whether the client marked the request as a retry.
     pub marked_retry: bool,
-    /// Whether the body is still arriving. The request's time then starts with the body's last byte, for which
+    /// Whether the body is still arriving. The request's time then counts from the body's last byte, for which
     /// [`PendingRequest::final_response_after_body`](crate::dispatch::PendingRequest::final_response_after_body) waits.
     pub body_pending: bool,
     /// The request that is sent to upstreams.
--- a/crates/proxy/src/dispatch/pending_request.rs
+++ b/crates/proxy/src/dispatch/pending_request.rs
@@ -22,15 +22,15 @@
         let (sender, response) = oneshot::channel();
         let now = self.clock.now();
         let time_left = incoming.time_left;
-        let deadline = (!incoming.body_pending).then_some(now + time_left);
-        let id = self.requests.insert(ActiveRequest::new(incoming.request, sender, deadline, time_left));
-        if let Some(deadline) = deadline {
-            self.set_deadline_timer(id, deadline);
-        }
+        let fixed_deadline = (!incoming.body_pending).then_some(now + time_left);
+        let active = ActiveRequest::new(incoming.request, sender, fixed_deadline, time_left);
+        let deadline = active.deadline(now);
+        let id = self.requests.insert(active);
+        self.set_deadline_timer(id, deadline);
         self.submit_event(Event::Request {
             id,
             class: incoming.class,
-            time_left: time_left.saturating_sub(POLICY_DEADLINE_MARGIN),
+            time_left: deadline.saturating_sub(now + POLICY_DEADLINE_MARGIN),
             tenant: incoming.tenant,
             work: incoming.estimated_work,
             marked_retry: incoming.marked_retry,
@@ -39,16 +39,17 @@
         PendingRequest { dispatcher: self.clone(), request: id, response }
     }
 
-    /// Handles the arrival of the last byte of a request's body. The time limits of the request and of its attempts start
-    /// now.
-    pub(super) fn on_body_complete(self: &Rc<Self>, request: RequestId) {
+    /// Handles the arrival of the last byte of a request's body. The limits of its attempts start now, and the request may
+    /// take `max_time_left` microseconds at most.
+    pub(super) fn on_body_complete(self: &Rc<Self>, request: RequestId, max_time_left: Micros) {
         let now = self.clock.now();
-        let Some(completion) = self.requests.complete_body(request, now) else { return };
+        let Some(completion) = self.requests.complete_body(request, now, max_time_left) else { return };
         self.set_deadline_timer(request, completion.deadline);
         for limit in completion.attempt_limits {
             self.set_timer(now + limit.time_limit, TimerKind::AttemptLimit(limit.attempt));
         }
-        self.submit_event(Event::BodyComplete { request });
+        let time_left = completion.time_left.saturating_sub(POLICY_DEADLINE_MARGIN);
+        self.submit_event(Event::BodyComplete { request, time_left });
     }
 
     /// Handles the disconnection of a client. Does nothing if its request already has the final response.
@@ -57,13 +58,17 @@
             return;
         }
         self.submit_event(Event::ClientDisconnected { request });
-        // An attempt that still waits for a connection would make an upstream process a request whose response nobody
-        // reads.
-        for attempt in self.requests.unconnected_attempts_without_client(request) {
-            self.abort_attempt(attempt, Outcome::Cancelled);
-        }
+        self.abort_attempts_without_client(request, Outcome::Cancelled);
         self.requests.remove_if_done(request);
     }
+
+    /// Aborts the attempts of a request without client that would otherwise hold a connection for a body that never ends,
+    /// or make an upstream process a request whose response nobody reads.
+    pub(super) fn abort_attempts_without_client(self: &Rc<Self>, request: RequestId, outcome: Outcome) {
+        for attempt in self.requests.attempts_without_client(request) {
+            self.abort_attempt(attempt, outcome);
+        }
+    }
 }
 
 /// A submitted request whose final response is awaited. If it is dropped before the response, the dispatcher treats
@@ -82,19 +87,20 @@
     }
 
     /// Waits for the final response to a request whose body is still arriving. `body_end` resolves when the body
-    /// has ended.
+    /// has ended; the request may then take `max_time_left` microseconds at most.
     ///
     /// # Errors
     /// Returns how the body ended if it ended before its last byte and before a response.
     pub async fn final_response_after_body(
         mut self,
         body_end: impl Future<Output = BodyEnd>,
+        max_time_left: impl FnOnce() -> Micros,
     ) -> Result<FinalResponse<T::Response>, BodyEnd> {
         tokio::select! {
             biased;
             response = self.receive() => return Ok(response),
             end = body_end => match end {
-                BodyEnd::Complete => self.dispatcher.on_body_complete(self.request),
+                BodyEnd::Complete => self.dispatcher.on_body_complete(self.request, max_time_left()),
                 end => return Err(end),
             },
         }
--- a/crates/proxy/src/dispatch/tests.rs
+++ b/crates/proxy/src/dispatch/tests.rs
@@ -35,6 +35,9 @@
     fn body_consumed((): &()) -> bool {
         false
     }
+    fn max_body_age((): &()) -> Micros {
+        0
+    }
     fn client_disconnected((): &()) -> bool {
         false
     }
--- a/crates/proxy/src/dispatch/timer_task.rs
+++ b/crates/proxy/src/dispatch/timer_task.rs
@@ -37,8 +37,8 @@
         self.timers.set(due, kind, |request| self.requests.contains(request));
     }
 
-    /// Sets the timer that fails a request shortly before the client's deadline if the policy leaves it without a
-    /// response. `deadline` is in microseconds of Unix time.
+    /// Sets the timer that fails a request shortly before the client's deadline if it has no response by then. `deadline` is
+    /// in microseconds of Unix time.
     pub(super) fn set_deadline_timer(&self, request: RequestId, deadline: Micros) {
         self.set_timer(deadline.saturating_sub(DEADLINE_MARGIN), TimerKind::RequestDeadline(request));
     }
@@ -47,18 +47,40 @@
         match kind {
             TimerKind::Policy { token } => self.submit_event(Event::Timer { token }),
             TimerKind::AttemptLimit(attempt) => self.abort_attempt(attempt, Outcome::TimedOut),
-            TimerKind::RequestDeadline(request) => self.fail_unanswered(request),
+            TimerKind::RequestDeadline(request) => self.on_request_deadline(request),
         }
     }
 
-    /// Fails a request that the policy has left without a response until just before the client's deadline.
-    fn fail_unanswered(self: &Rc<Self>, request: RequestId) {
+    /// Fails a request whose deadline is about to pass. The deadline of a request whose body is still arriving may have
+    /// moved since the timer was set.
+    fn on_request_deadline(self: &Rc<Self>, request: RequestId) {
+        let now = self.clock.now();
+        let Some(deadline) = self.requests.awaited_deadline(request, now) else { return };
+        let body_pending = self.requests.body_pending(request);
+        if deadline <= now + DEADLINE_MARGIN {
+            self.fail_unanswered(request, body_pending);
+        } else if body_pending {
+            self.set_deadline_timer(request, deadline);
+        }
+    }
+
+    /// Fails a request that has no response just before the client's deadline: its upstream has not accepted its body in
+    /// time, or the policy has left it without a response.
+    fn fail_unanswered(self: &Rc<Self>, request: RequestId, body_pending: bool) {
         let Some(responder) = self.requests.take_responder(request) else { return };
-        log_line!(
-            "defect: the policy left a request without a response, failed just before its deadline (request {request})"
-        );
         let _ = responder.send(FinalResponse::Failed(Failure::DeadlineExceeded));
-        self.submit_event(Event::ClientDisconnected { request });
+        let stalled_attempts =
+            if body_pending { self.requests.attempts_without_client(request) } else { Vec::new() };
+        if stalled_attempts.is_empty() {
+            log_line!(
+                "defect: the policy left a request without a response, failed just before its deadline (request {request})"
+            );
+            self.submit_event(Event::ClientDisconnected { request });
+        }
+        for attempt in stalled_attempts {
+            log_line!("upstream: request body not accepted by the client's deadline (request {request})");
+            self.abort_attempt(attempt, Outcome::TimedOut);
+        }
         self.requests.remove_if_done(request);
     }
 }
--- a/crates/proxy/src/dispatch/transport.rs
+++ b/crates/proxy/src/dispatch/transport.rs
@@ -32,6 +32,10 @@
     /// again.
     fn body_consumed(request: &Self::Request) -> bool;
 
+    /// Returns for how long the complete body of a request may have been with this machine, in microseconds; 0 while the
+    /// proxy waits for the client to send more of it, and for a buffered body.
+    fn max_body_age(request: &Self::Request) -> Micros;
+
     /// Returns whether the client has disconnected, as far as the kernel knows at this moment.
     fn client_disconnected(request: &Self::Request) -> bool;
 
--- a/crates/proxy/src/downstream/arrival_times.rs
+++ b/crates/proxy/src/downstream/arrival_times.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// Returns when the last byte of the buffer arrived; `None` if the buffer is empty.
+    pub fn last_arrival(&self) -> Option<Instant> {
+        self.arrivals.back().map(|arrival| arrival.arrived_at)
+    }
+
     /// Returns when the last byte that was removed from the front arrived; `None` before the first removal.
     pub fn last_removed_arrival(&self) -> Option<Instant> {
         self.last_removed_arrival
--- a/crates/proxy/src/downstream/body_pace.rs
+++ b/crates/proxy/src/downstream/body_pace.rs
@@ -13,7 +13,6 @@
 
 /// The time credit of a body: each arriving byte adds to it, and the time that the proxy spends waiting for more bytes
 /// is deducted.
-#[derive(Default)]
 pub struct BodyPace {
     /// When the socket was first found empty; `None` if bytes have arrived since.
     empty_since: Cell<Option<Instant>>,
@@ -21,14 +20,27 @@
     wanted_since: Cell<Option<Instant>>,
     /// Time for which the proxy still waits for more bytes.
     credit: Cell<Duration>,
+    /// When the proxy last waited for the client; when the head arrived, if it has not waited since.
+    last_waited_at: Cell<Instant>,
 }
 
 impl BodyPace {
-    /// Resets the credit for a new body, of which more is wanted from `now` on.
-    pub fn restart(&self, now: Instant) {
+    /// Creates the pace of a connection without a body.
+    pub fn new(now: Instant) -> BodyPace {
+        BodyPace {
+            empty_since: Cell::default(),
+            wanted_since: Cell::default(),
+            credit: Cell::default(),
+            last_waited_at: Cell::new(now),
+        }
+    }
+
+    /// Resets the credit for a new body, of which more is wanted from `now` on. The head arrived at `head_arrived_at`.
+    pub fn restart(&self, now: Instant, head_arrived_at: Instant) {
         self.empty_since.set(None);
         self.wanted_since.set(Some(now));
         self.credit.set(Duration::ZERO);
+        self.last_waited_at.set(head_arrived_at);
     }
 
     /// Sets whether the proxy wants more of the body. While the upstream accepts no more bytes, the proxy wants none,
@@ -57,6 +69,13 @@
         }
     }
 
+    /// Returns the earliest time at which the body's last byte may have arrived: now while the proxy waits for the
+    /// client, and otherwise when it last did so. What has arrived since then is unread, and the kernel does not tell
+    /// when it arrived.
+    pub fn earliest_end(&self) -> Instant {
+        if self.waiting_since().is_some() { Instant::now() } else { self.last_waited_at.get() }
+    }
+
     /// Returns when the credit will be used up; `None` while the proxy does not wait for the client.
     pub fn deadline(&self) -> Option<Instant> {
         self.waiting_since().map(|since| since + self.credit.get())
@@ -70,7 +89,8 @@
 
     /// Deducts the time waited so far from the credit.
     fn spend_credit(&self) {
-        let waited = self.waiting_since().map_or(Duration::ZERO, |since| since.elapsed());
-        self.credit.set(self.credit.get().saturating_sub(waited));
+        let Some(since) = self.waiting_since() else { return };
+        self.credit.set(self.credit.get().saturating_sub(since.elapsed()));
+        self.last_waited_at.set(Instant::now());
     }
 }
--- a/crates/proxy/src/downstream/client_stream.rs
+++ b/crates/proxy/src/downstream/client_stream.rs
@@ -91,6 +91,11 @@
         self.arrival_times.last_removed_arrival()
     }
 
+    /// Returns when the last byte arrived that was read but not yet passed on; `None` if there is none.
+    pub fn last_buffered_byte_arrived_at(&self) -> Option<Instant> {
+        self.arrival_times.last_arrival()
+    }
+
     /// Moves at most `limit` bytes from the buffer to `target`, and returns their number. Frees the memory of an empty
     /// buffer.
     pub fn move_buffered_to(&mut self, target: &mut ReadBufCursor<'_>, limit: u64) -> u64 {
--- a/crates/proxy/src/downstream/progress.rs
+++ b/crates/proxy/src/downstream/progress.rs
@@ -58,7 +58,7 @@
         Rc::new(ConnectionProgress {
             clock: StageClock::new(Instant::now()),
             input: RequestInput::default(),
-            body_pace: BodyPace::default(),
+            body_pace: BodyPace::new(Instant::now()),
             response: ResponseWrite::default(),
             client: WeakClientStream::new(stream),
             eviction: EvictionEntry::new(evictable_connections),
@@ -200,7 +200,7 @@
     fn enter(&self, stage: ConnectionStage) {
         let now = Instant::now();
         if stage == ConnectionStage::Body {
-            self.body_pace.restart(now);
+            self.body_pace.restart(now, self.client.last_buffered_byte_arrived_at().unwrap_or(now));
         }
         self.clock.enter(stage, now);
         self.eviction.update(stage, now, self.client.stream());
--- a/crates/proxy/src/downstream/progress/downstream_client_impl.rs
+++ b/crates/proxy/src/downstream/progress/downstream_client_impl.rs
@@ -1,5 +1,7 @@
 //! Implements [`DownstreamClient`] for the progress of a client connection.
 
+use tokio::time::Instant;
+
 use crate::downstream::progress::ConnectionProgress;
 use crate::upstream::downstream_client::DownstreamClient;
 
@@ -11,4 +13,8 @@
     fn set_waiting_for_body(&self, waiting: bool) {
         self.body_pace().set_wanted(waiting);
     }
+
+    fn earliest_body_end(&self) -> Instant {
+        self.body_pace().earliest_end()
+    }
 }
--- a/crates/proxy/src/downstream/progress/weak_client_stream.rs
+++ b/crates/proxy/src/downstream/progress/weak_client_stream.rs
@@ -34,6 +34,12 @@
         stream.and_then(|stream| stream.borrow().last_passed_byte_arrived_at())
     }
 
+    /// Returns when the last byte arrived that was read but not yet passed on to hyper; `None` if there is none.
+    pub(super) fn last_buffered_byte_arrived_at(&self) -> Option<Instant> {
+        let stream = self.stream.upgrade();
+        stream.and_then(|stream| stream.borrow().last_buffered_byte_arrived_at())
+    }
+
     /// Returns whether input after an open request was dropped because the read-ahead buffer was full.
     pub(super) fn input_overflowed(&self) -> bool {
         self.stream.upgrade().is_some_and(|stream| stream.borrow().overflowed())
--- a/crates/proxy/src/downstream/service.rs
+++ b/crates/proxy/src/downstream/service.rs
@@ -5,6 +5,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response, StatusCode};
+use zincstand_policy::Micros;
 
 use crate::dispatch::BodyEnd;
 use crate::dispatch::PendingRequest;
@@ -143,7 +144,7 @@
         }
         end
     };
-    pending.final_response_after_body(body_end).await.map_err(RequestError::incomplete_body)
+    pending.final_response_after_body(body_end, || Micros::MAX).await.map_err(RequestError::incomplete_body)
 }
 
 /// Builds the response to the client. The body owns `body_memory` and releases it once the body has been written or
--- a/crates/proxy/src/process/transport.rs
+++ b/crates/proxy/src/process/transport.rs
@@ -36,6 +36,10 @@
         request.body_consumed()
     }
 
+    fn max_body_age(request: &UpstreamRequest) -> Micros {
+        request.body.max_age().as_micros() as Micros
+    }
+
     fn client_disconnected(request: &UpstreamRequest) -> bool {
         request.client_disconnected()
     }
--- a/crates/proxy/src/upstream/request.rs
+++ b/crates/proxy/src/upstream/request.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue};
@@ -57,6 +58,14 @@
         }
     }
 
+    /// Returns for how long the complete body may have been with the proxy's machine; zero for a buffered body.
+    pub fn max_age(&self) -> Duration {
+        match self {
+            RequestBody::Complete(_) => Duration::ZERO,
+            RequestBody::Streamed(stream) => stream.max_age(),
+        }
+    }
+
     /// Returns whether the body ended before its last byte, because the client broke it off or it exceeded the maximum
     /// length.
     pub fn is_truncated(&self) -> bool {
--- a/crates/proxy/src/upstream/request_body_stream.rs
+++ b/crates/proxy/src/upstream/request_body_stream.rs
@@ -5,16 +5,22 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use crate::dispatch::BodyEnd;
 use crate::upstream::body_prefix::MAX_STREAMED_BODY_BYTES;
 use crate::upstream::downstream_client::DownstreamClient;
 
+/// Maximum number of bytes that a client may have written and the proxy not read: the largest send buffer (4 MiB) and the
+/// largest receive buffer (6 MiB) that Linux gives a socket by default.
+const MAX_UNREAD_BYTES: u64 = 10 << 20;
+
 /// A request body of which the beginning is buffered and the rest is still arriving. The request can be sent again until
 /// an attempt has read from the rest.
 pub struct RequestBodyStream {
@@ -28,6 +34,9 @@
     rest_forwarded: Cell<u64>,
     /// Whether an attempt has begun to read the rest.
     rest_consumed: Cell<bool>,
+    /// When a part of the body was last read of which more than [`MAX_UNREAD_BYTES`] were to follow: the client cannot
+    /// have written its last byte before. `None` if there was no such part.
+    last_incomplete_at: Cell<Option<Instant>>,
     /// How the body has ended; `None` while it is arriving.
     end: Cell<Option<BodyEnd>>,
     /// Notified when `end` is set.
@@ -47,6 +56,7 @@
             client,
             rest_forwarded: Cell::new(0),
             rest_consumed: Cell::new(false),
+            last_incomplete_at: Cell::new(None),
             end: Cell::new(None),
             ended: Notify::new(),
         })
@@ -68,6 +78,14 @@
         self.end.get()
     }
 
+    /// Returns for how long the complete body may have been with the proxy's machine: since the proxy last waited for the
+    /// client, or last knew that the client could not have written all of the rest.
+    pub fn max_age(&self) -> Duration {
+        let earliest_end = self.client.earliest_body_end();
+        let earliest_end = self.last_incomplete_at.get().map_or(earliest_end, |at| at.max(earliest_end));
+        earliest_end.elapsed()
+    }
+
     /// Returns the number of bytes in the prefix and in the forwarded part of the rest. Once the complete body has
     /// arrived, this is the length of the body.
     pub fn length_so_far(&self) -> u64 {
@@ -118,6 +136,9 @@
                 self.set_end(BodyEnd::TooLong);
                 return Poll::Ready(Some(Err(io::ErrorKind::FileTooLarge.into())));
             }
+            if self.declared_length.is_some_and(|length| length > self.length_so_far() + MAX_UNREAD_BYTES) {
+                self.last_incomplete_at.set(Some(Instant::now()));
+            }
             // Hyper may not poll again after the last byte of a body of declared length, so its end is recorded here.
             if rest.is_end_stream() {
                 self.set_end(BodyEnd::Complete);
--- a/crates/testbed/src/hollow/group.rs
+++ b/crates/testbed/src/hollow/group.rs
@@ -141,6 +141,10 @@
         false
     }
 
+    fn max_body_age((): &()) -> Micros {
+        0
+    }
+
     fn client_disconnected((): &()) -> bool {
         false
     }
