Limit an upload's time in a shutdown when its last byte arrives

Cause: the time that is left before SIGKILL was computed from the head. A head that came before SIGTERM, or within 0.6 s after it, gave the request its whole time, which began at the last byte. This held for streamed bodies and for buffered ones, which may take a second or more too; and an upload whose upstream hung was not ended by the shutdown at all.

Now the service limits the time once the body has been read, and again when the last byte of a streamed body arrives. A body that is still on its way when the time for the shutdown is over is answered 503: it never ran.

--- a/crates/proxy/src/dispatch/messages.rs
+++ b/crates/proxy/src/dispatch/messages.rs
@@ -56,6 +56,8 @@
     Broken,
     /// The body exceeds the size up to which bodies are forwarded.
     TooLong,
+    /// The process shuts down and no longer waits for the last byte.
+    ShutDown,
 }
 
 /// The result of one health check.
--- a/crates/proxy/src/downstream/request_validation.rs
+++ b/crates/proxy/src/downstream/request_validation.rs
@@ -8,7 +8,6 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use thiserror::Error;
-use tokio::time::Instant;
 use zincstand_policy as policy;
 use zincstand_policy::{Idempotency, Micros};
 
@@ -16,7 +15,6 @@
 use crate::dispatch::IncomingRequest;
 use crate::downstream::headers::{IDEMPOTENCY_KEY, REQ_ID, end_to_end_headers};
 use crate::downstream::progress::ConnectionProgress;
-use crate::downstream::shutdown::ShutdownBudget;
 use crate::upstream::body_prefix::{BodyPrefix, read_prefix};
 use crate::upstream::downstream_client::DownstreamClient;
 use crate::upstream::request_body_stream::RequestBodyStream;
@@ -56,6 +54,10 @@
     pub const NO_BODY_CAPACITY: RequestError =
         RequestError { status: StatusCode::SERVICE_UNAVAILABLE, message: "no room" };
 
+    /// The body was still arriving when the time for a graceful shutdown ended.
+    const SHUTTING_DOWN: RequestError =
+        RequestError { status: StatusCode::SERVICE_UNAVAILABLE, message: "shutting down" };
+
     /// Creates the error of an invalid request.
     pub const fn bad_request(message: &'static str) -> RequestError {
         RequestError { status: StatusCode::BAD_REQUEST, message }
@@ -65,6 +67,7 @@
     pub fn incomplete_body(end: BodyEnd) -> RequestError {
         match end {
             BodyEnd::TooLong => RequestError::BODY_TOO_LARGE,
+            BodyEnd::ShutDown => RequestError::SHUTTING_DOWN,
             BodyEnd::Broken | BodyEnd::Complete => RequestError::BROKEN_BODY,
         }
     }
@@ -76,7 +79,6 @@
     classes: HashMap<Vec<u8>, RequestClass>,
     /// The policy's ids of the tenants by name.
     tenants: HashMap<Vec<u8>, policy::TenantId>,
-    shutdown: ShutdownBudget,
 }
 
 /// A class of requests and the policy's id for it.
@@ -87,23 +89,18 @@
 
 impl RequestValidator {
     /// Creates a validator for these classes and tenants, whose ids are their positions.
-    pub fn new(
-        classes: Vec<(String, policy::Class)>,
-        tenants: Vec<String>,
-        shutdown: ShutdownBudget,
-    ) -> RequestValidator {
+    pub fn new(classes: Vec<(String, policy::Class)>, tenants: Vec<String>) -> RequestValidator {
         let classes = classes
             .into_iter()
             .enumerate()
             .map(|(id, (name, class))| (name.into_bytes(), RequestClass { id, class }))
             .collect();
         let tenants = tenants.into_iter().enumerate().map(|(id, name)| (name.into_bytes(), id)).collect();
-        RequestValidator { classes, tenants, shutdown }
+        RequestValidator { classes, tenants }
     }
 
     /// Reads and validates a request. A short body is read completely; a longer body is read in part, and the rest is
-    /// streamed. The request's time limit runs from its last byte. `shutdown_requested_at` is when the process
-    /// received a shutdown signal; `None` if it received none.
+    /// streamed. The request's time limit runs from its last byte.
     ///
     /// # Errors
     ///
@@ -112,14 +109,13 @@
         &self,
         request: Request<Incoming>,
         progress: &Rc<ConnectionProgress>,
-        shutdown_requested_at: Option<Instant>,
     ) -> Result<IncomingRequest<UpstreamRequest>, RequestError> {
         let (head, body) = request.into_parts();
         reject_repeated_headers(&head.headers)?;
         let RequestClass { id: class_id, class } = self.class(&head.headers)?;
         require_request_id(&head.headers)?;
         check_method(&head.method, &head.headers, class.idempotency)?;
-        let time_left = self.time_left(&head.headers, class, shutdown_requested_at)?;
+        let time_left = client_time(&head.headers, class)?;
         let tenant = head.headers.get(REQ_OWNER).and_then(|name| self.tenants.get(name.as_bytes()).copied());
         let estimated_work = text_header(&head.headers, REQ_COST).and_then(parse_digits);
         let marked_retry = text_header(&head.headers, REQ_RETRY) == Some("1");
@@ -149,24 +145,17 @@
         let name = headers.get(REQ_KIND).ok_or(RequestError::bad_request("no Req-Kind"))?;
         self.classes.get(name.as_bytes()).ok_or(RequestError::bad_request("unknown Req-Kind"))
     }
+}
 
-    /// Returns the time in microseconds that the request may take: the time in its header, limited by the deadline of
-    /// its class and, late in a shutdown, by the time that is left before SIGKILL.
-    fn time_left(
-        &self,
-        headers: &HeaderMap,
-        class: &policy::Class,
-        shutdown_requested_at: Option<Instant>,
-    ) -> Result<Micros, RequestError> {
-        let mut time_left = class.deadline;
-        if headers.contains_key(REQ_DEADLINE_MS) {
-            let milliseconds = text_header(headers, REQ_DEADLINE_MS)
-                .and_then(parse_digits)
-                .ok_or(RequestError::bad_request("Req-Deadline-Ms is no number"))?;
-            time_left = time_left.min(milliseconds.saturating_mul(1000));
-        }
-        Ok(time_left.min(self.shutdown.request_time_limit(shutdown_requested_at)))
+/// Returns the time in microseconds that the client waits: the time in its header, limited by the deadline of the class.
+fn client_time(headers: &HeaderMap, class: &policy::Class) -> Result<Micros, RequestError> {
+    if !headers.contains_key(REQ_DEADLINE_MS) {
+        return Ok(class.deadline);
     }
+    let milliseconds = text_header(headers, REQ_DEADLINE_MS)
+        .and_then(parse_digits)
+        .ok_or(RequestError::bad_request("Req-Deadline-Ms is no number"))?;
+    Ok(class.deadline.min(milliseconds.saturating_mul(1000)))
 }
 
 /// Rejects requests that repeat a `Req-*` header or the idempotency key: one peer might read the first value and another
--- a/crates/proxy/src/downstream/server.rs
+++ b/crates/proxy/src/downstream/server.rs
@@ -64,7 +64,7 @@
         Rc::new(Server {
             dispatcher,
             lifecycle,
-            validator: RequestValidator::new(classes, tenants, shutdown),
+            validator: RequestValidator::new(classes, tenants),
             permits: ConnectionPermits::new(limits.connections, evictable_connections.clone()),
             evictable_connections,
             body_memory: ResizableLimit::new(limits.body_bytes),
--- a/crates/proxy/src/downstream/service.rs
+++ b/crates/proxy/src/downstream/service.rs
@@ -5,11 +5,12 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response, StatusCode};
+use tokio::time::sleep_until;
 use zincstand_policy::Micros;
 
 use crate::dispatch::BodyEnd;
+use crate::dispatch::FinalResponse;
 use crate::dispatch::PendingRequest;
-use crate::dispatch::{FinalResponse, Transport};
 use crate::downstream::connection_permits::PermitKind;
 use crate::downstream::headers::{REQ_ID, end_to_end_headers};
 use crate::downstream::progress::ConnectionProgress;
@@ -85,8 +86,8 @@
         progress: &Rc<ConnectionProgress>,
     ) -> Result<Response<ResponseBody>, RequestError> {
         let body_memory = self.acquire_body_memory(&request)?;
-        let shutdown_requested_at = self.lifecycle.shutdown_requested_at();
-        let incoming = self.validator.read(request, progress, shutdown_requested_at).await?;
+        let mut incoming = self.validator.read(request, progress).await?;
+        incoming.time_left = incoming.time_left.min(self.shutdown_time_limit());
         // Reserves the id until this function returns.
         let _open_id = incoming
             .request
@@ -109,7 +110,7 @@
         let pending = self.dispatcher.submit(incoming);
         let response = match upload {
             None => pending.final_response().await,
-            Some(upload) => respond_to_upload(pending, upload, progress).await?,
+            Some(upload) => self.respond_to_upload(pending, upload, progress).await?,
         };
         Ok(client_response(response, body_memory, progress))
     }
@@ -125,26 +126,47 @@
         let buffered = length.min(MAX_BUFFERED_BODY_BYTES as u64) as usize;
         self.body_memory.try_acquire(buffered + MAX_BUFFERED_BODY_BYTES).ok_or(RequestError::NO_BODY_CAPACITY)
     }
-}
 
-/// Waits for the final response to a request whose body is still arriving.
-///
-/// # Errors
-///
-/// A [`RequestError`] if the body ends before its last byte.
-async fn respond_to_upload<T: Transport>(
-    pending: PendingRequest<T>,
-    upload: Rc<RequestBodyStream>,
-    progress: &ConnectionProgress,
-) -> Result<FinalResponse<T::Response>, RequestError> {
-    let body_end = async {
-        let end = upload.wait_for_end().await;
-        if end == BodyEnd::Complete {
-            progress.record_request_complete();
+    /// Waits for the final response to a request whose body is still arriving.
+    ///
+    /// # Errors
+    ///
+    /// A [`RequestError`] if the body ends before its last byte, or the time for a graceful shutdown does.
+    async fn respond_to_upload(
+        &self,
+        pending: PendingRequest<T>,
+        upload: Rc<RequestBodyStream>,
+        progress: &ConnectionProgress,
+    ) -> Result<FinalResponse<T::Response>, RequestError> {
+        let body_end = async {
+            let end = tokio::select! {
+                biased;
+                end = upload.wait_for_end() => end,
+                () = self.shutdown_time_over() => BodyEnd::ShutDown,
+            };
+            if end == BodyEnd::Complete {
+                progress.record_request_complete();
+            }
+            end
+        };
+        let response = pending.final_response_after_body(body_end, || self.shutdown_time_limit()).await;
+        response.map_err(RequestError::incomplete_body)
+    }
+
+    /// Returns the time in microseconds that a request whose last byte arrives now may take at most, because the process
+    /// may be shutting down.
+    fn shutdown_time_limit(&self) -> Micros {
+        self.shutdown.request_time_limit(self.lifecycle.shutdown_requested_at())
+    }
+
+    /// Waits until the process was asked to shut down and the time for that is over.
+    async fn shutdown_time_over(&self) {
+        let mut phases = self.lifecycle.subscribe();
+        let Ok(_) = phases.wait_for(|phase| phase.is_shutting_down()).await else { return };
+        if let Some(requested_at) = self.lifecycle.shutdown_requested_at() {
+            sleep_until(requested_at + self.shutdown.total()).await;
         }
-        end
-    };
-    pending.final_response_after_body(body_end, || Micros::MAX).await.map_err(RequestError::incomplete_body)
+    }
 }
 
 /// Builds the response to the client. The body owns `body_memory` and releases it once the body has been written or
--- a/crates/proxy/tests/shutdown.rs
+++ b/crates/proxy/tests/shutdown.rs
@@ -143,6 +143,43 @@
     });
 }
 
+/// Time from the shutdown signal to SIGKILL: the longest deadline, counted as 3 s, and 0.7 s.
+const KILL_DELAY: Duration = Duration::from_millis(3700);
+
+/// Sends a request of which the last bytes follow 0.9 s after the shutdown signal, to an upstream that does not respond.
+/// Asserts that the client gets a response before SIGKILL. Returns whether the last bytes were sent in time.
+fn last_byte_in_shutdown_is_answered(length: usize) -> bool {
+    let SingleUpstream { upstream, mut balancer, mut client } = SingleUpstream::start();
+    let (head_length, late_length) = (length - length / 10, length / 10);
+    let head = request("pay", "r-1", "")
+        .replace("Content-Length: 4\r\n\r\nbody", &format!("Content-Length: {length}\r\n\r\n"));
+    send(&mut client, &(head + &"x".repeat(head_length)));
+    assert_eq!(balancer.send(READINESS_CHECK).status(), 200);
+    let shutdown = balancer.start_shutdown();
+    std::thread::sleep(Duration::from_millis(900));
+    send(&mut client, &"x".repeat(late_length));
+    if shutdown.elapsed() > Duration::from_millis(1200) {
+        return false;
+    }
+    let _hanging = upstream.accept();
+    assert_eq!(read_message(&mut client).expect("a response arrives").status(), 504);
+    assert!(shutdown.elapsed() < KILL_DELAY, "answered {:?} after the signal", shutdown.elapsed());
+    balancer.assert_exits_cleanly();
+    true
+}
+
+// Guards against losing slow uploads at a planned restart: their time is limited when their last byte arrives.
+#[test]
+fn an_upload_that_ends_late_in_a_shutdown_is_answered_before_the_platform_kills_the_process() {
+    assert_in_time(|| last_byte_in_shutdown_is_answered(110_000));
+}
+
+// Guards against the same loss of requests whose body is short enough to be buffered.
+#[test]
+fn a_short_body_that_ends_late_in_a_shutdown_is_answered_before_the_platform_kills_the_process() {
+    assert_in_time(|| last_byte_in_shutdown_is_answered(10_000));
+}
+
 #[test]
 fn a_killed_balancer_restarts_at_the_same_address() {
     let upstream = Peer::new();
--- a/crates/proxy/tests/uploads.rs
+++ b/crates/proxy/tests/uploads.rs
@@ -134,6 +134,25 @@
     assert!(received.len() < blocked_upload_length(), "the attempt was completed after its client had left");
 }
 
+// Guards against losing an upload at a planned restart whose upstream hangs through the shutdown.
+#[test]
+fn an_upload_to_a_hanging_upstream_is_answered_before_the_platform_kills_the_process() {
+    // SIGKILL follows SIGTERM after the longest deadline, counted as 3 s, and 0.7 s.
+    const KILL_DELAY: Duration = Duration::from_millis(3700);
+    let SingleUpstream { upstream, mut balancer, mut client } = SingleUpstream::start();
+    let length = blocked_upload_length();
+    let mut message =
+        upload_head("r-1", length).replace("Req-Deadline-Ms: 1000", "Req-Deadline-Ms: 20000").into_bytes();
+    message.resize(message.len() + length, b'x');
+    client.write_all(&message).expect("the kernel takes the request");
+    let _hanging = upstream.accept();
+    let shutdown = balancer.start_shutdown();
+    let response = read_message(&mut client).expect("a response arrives");
+    assert!(shutdown.elapsed() < KILL_DELAY, "answered {:?} after the signal", shutdown.elapsed());
+    assert_eq!(response.status(), 503);
+    balancer.assert_exits_cleanly();
+}
+
 // Guards against uploads that wait without a limit while discovery lists no endpoint.
 #[test]
 fn an_upload_without_any_upstream_is_answered_in_time() {
