--- a/crates/proxy/tests/uploads.rs
+++ b/crates/proxy/tests/uploads.rs
@@ -41,17 +41,17 @@
     unread_connection_capacity() * 135 / 100
 }
 
-/// Returns the head of a request with a body of this length and [`CLIENT_DEADLINE`].
-fn upload_head(id: &str, length: usize) -> String {
-    let deadline_ms = CLIENT_DEADLINE.as_millis();
+/// Returns the head of a request with a body of this length whose client waits for `deadline`.
+fn upload_head(id: &str, length: usize, deadline: Duration) -> String {
+    let deadline_ms = deadline.as_millis();
     let headers = format!("Req-Deadline-Ms: {deadline_ms}\r\n");
     request("pay", id, &headers)
         .replace("Content-Length: 4\r\n\r\nbody", &format!("Content-Length: {length}\r\n\r\n"))
 }
 
 /// Writes a complete request and returns the time of its last byte.
-fn send_upload(client: &mut TcpStream, id: &str, length: usize) -> Instant {
-    let mut message = upload_head(id, length).into_bytes();
+fn send_upload(client: &mut TcpStream, id: &str, length: usize, deadline: Duration) -> Instant {
+    let mut message = upload_head(id, length, deadline).into_bytes();
     message.resize(message.len() + length, b'x');
     client.write_all(&message).expect("the kernel takes the request");
     Instant::now()
@@ -71,7 +71,7 @@
 #[test]
 fn an_upload_to_an_upstream_that_stops_reading_is_answered_in_time() {
     let SingleUpstream { upstream, balancer, mut client } = SingleUpstream::start();
-    let sent_at = send_upload(&mut client, "r-1", blocked_upload_length());
+    let sent_at = send_upload(&mut client, "r-1", blocked_upload_length(), CLIENT_DEADLINE);
     let mut hanging = upstream.accept();
     assert_response_in_time(&mut client, sent_at, 504);
     let mut received = Vec::new();
@@ -84,7 +84,7 @@
 #[test]
 fn an_upload_whose_upstream_pauses_has_only_the_rest_of_its_time() {
     let SingleUpstream { upstream, balancer: _balancer, mut client } = SingleUpstream::start();
-    let sent_at = send_upload(&mut client, "r-1", blocked_upload_length());
+    let sent_at = send_upload(&mut client, "r-1", blocked_upload_length(), CLIENT_DEADLINE);
     let mut stream = upstream.accept();
     std::thread::sleep(CLIENT_DEADLINE.mul_f64(0.8).saturating_sub(sent_at.elapsed()));
     let reader = std::thread::spawn(move || {
@@ -99,21 +99,22 @@
 // Guards against failing an upload only because its upstream reads it slowly while the client is still writing it.
 #[test]
 fn an_upload_that_takes_longer_than_its_time_is_served_while_the_upstream_reads() {
-    const LENGTH: usize = 24_000_000;
-    const PARTS: usize = 40;
+    const LENGTH: usize = 32_000_000;
+    const PARTS: u32 = 40;
+    const DEADLINE: Duration = Duration::from_secs(2);
     let SingleUpstream { upstream, balancer: _balancer, mut client } = SingleUpstream::start();
     let reader = std::thread::spawn(move || {
         let mut stream = upstream.accept();
         read_head(&mut stream).expect("an attempt arrives");
-        let mut part = vec![0; LENGTH / PARTS];
+        let mut part = vec![0; LENGTH / PARTS as usize];
         for _ in 0..PARTS {
-            std::thread::sleep(2 * CLIENT_DEADLINE / PARTS as u32);
+            std::thread::sleep(DEADLINE.mul_f64(1.2) / PARTS);
             stream.read_exact(&mut part).expect("the body arrives");
         }
         respond_ok(&mut stream);
         stream
     });
-    let sent_at = send_upload(&mut client, "r-1", LENGTH);
+    let sent_at = send_upload(&mut client, "r-1", LENGTH, DEADLINE);
     assert_response_in_time(&mut client, sent_at, 200);
     reader.join().expect("the upstream reads the body");
 }
@@ -122,7 +123,7 @@
 #[test]
 fn a_client_that_leaves_during_an_upload_ends_the_attempt() {
     let SingleUpstream { upstream, balancer: _balancer, mut client } = SingleUpstream::start();
-    send_upload(&mut client, "r-1", blocked_upload_length());
+    send_upload(&mut client, "r-1", blocked_upload_length(), CLIENT_DEADLINE);
     let mut hanging = upstream.accept();
     drop(client);
     hanging.set_read_timeout(Some(EVENT_TIMEOUT)).expect("the timeout is not zero");
@@ -140,11 +141,7 @@
     // SIGKILL follows SIGTERM after the longest deadline, counted as 3 s, and 0.7 s.
     const KILL_DELAY: Duration = Duration::from_millis(3700);
     let SingleUpstream { upstream, mut balancer, mut client } = SingleUpstream::start();
-    let length = blocked_upload_length();
-    let mut message =
-        upload_head("r-1", length).replace("Req-Deadline-Ms: 1000", "Req-Deadline-Ms: 20000").into_bytes();
-    message.resize(message.len() + length, b'x');
-    client.write_all(&message).expect("the kernel takes the request");
+    send_upload(&mut client, "r-1", blocked_upload_length(), Duration::from_secs(20));
     let _hanging = upstream.accept();
     let shutdown = balancer.start_shutdown();
     let response = read_message(&mut client).expect("a response arrives");
@@ -162,7 +159,7 @@
     read_poll(&mut watch);
     send_snapshot(&mut watch, 1, &[]);
     let mut client = balancer.connect();
-    let sent_at = send_upload(&mut client, "r-1", UPLOAD_BYTES);
+    let sent_at = send_upload(&mut client, "r-1", UPLOAD_BYTES, CLIENT_DEADLINE);
     assert_response_in_time(&mut client, sent_at, 503);
 }
 
@@ -176,7 +173,7 @@
     send_snapshot(&mut watch, 1, &[]);
     read_poll(&mut watch);
     let mut client = balancer.connect();
-    let sent_at = send_upload(&mut client, "r-1", UPLOAD_BYTES);
+    let sent_at = send_upload(&mut client, "r-1", UPLOAD_BYTES, CLIENT_DEADLINE);
     std::thread::sleep(CLIENT_DEADLINE / 2);
     let upstream = Peer::new();
     send_snapshot(&mut watch, 2, &[endpoint("s-1", upstream.address, "SERVING")]);
