--- a/crates/proxy/tests/uploads.rs
+++ b/crates/proxy/tests/uploads.rs
@@ -135,6 +135,26 @@
     assert!(received.len() < blocked_upload_length(), "the attempt was completed after its client had left");
 }
 
+// Guards against running out of descriptors during a hang: each such upload held two for as long as the upstream hung.
+#[test]
+fn uploads_to_a_hanging_upstream_release_their_descriptors() {
+    let SingleUpstream { upstream, balancer, client } = SingleUpstream::start();
+    drop(client);
+    let length = blocked_upload_length();
+    let descriptors_before = balancer.open_descriptors();
+    let mut hanging = Vec::new();
+    for number in 0..8 {
+        let mut client = balancer.connect();
+        send_upload(&mut client, &format!("r-{number}"), length, CLIENT_DEADLINE);
+        hanging.push(upstream.accept());
+    }
+    let all_left = Instant::now();
+    while balancer.open_descriptors() > descriptors_before {
+        assert!(all_left.elapsed() < EVENT_TIMEOUT, "{} descriptors are open", balancer.open_descriptors());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
 // Guards against losing an upload at a planned restart whose upstream hangs through the shutdown.
 #[test]
 fn an_upload_to_a_hanging_upstream_is_answered_before_the_platform_kills_the_process() {
