Read on after an interrupted read in the testbed's clients

The trace shows EINTR: a socket with a read timeout is not read on after a signal, and a child process that ends sends one. The client took that for a missing response. Result: a unit test whose connection interrupts every other read; the function before returns nothing there.

--- a/crates/testbed/src/clients/http.rs
+++ b/crates/testbed/src/clients/http.rs
@@ -1,6 +1,6 @@
 //! The subset of HTTP/1.1 that the clients use: one kind of request, and responses with `Content-Length`.
 
-use std::io::Read;
+use std::io::{ErrorKind, Read};
 use std::net::{SocketAddr, TcpStream};
 
 use super::ClientError;
@@ -52,7 +52,7 @@
 
 /// Reads the next response. Returns `None` if the response does not arrive completely. Bytes that follow the response
 /// stay in the buffer.
-pub fn read_response(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<ReceivedResponse> {
+pub fn read_response(stream: &mut impl Read, buffer: &mut Vec<u8>) -> Option<ReceivedResponse> {
     loop {
         if let Some(parsed) = ParsedHead::parse(buffer).ok()? {
             let total_length = parsed.head_length + parsed.body_length?;
@@ -64,6 +64,8 @@
         let mut chunk = [0; READ_CHUNK_BYTES];
         match stream.read(&mut chunk) {
             Ok(length) if length > 0 => buffer.extend_from_slice(&chunk[..length]),
+            // A signal interrupted the system call, for instance because a child process has ended.
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
             _ => return None,
         }
     }
@@ -104,3 +106,34 @@
         Ok(Some(ParsedHead { response, head_length, body_length }))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A connection on which every other read is interrupted by a signal.
+    struct InterruptedConnection {
+        received: &'static [u8],
+        is_interrupted: bool,
+    }
+
+    impl Read for InterruptedConnection {
+        fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+            self.is_interrupted = !self.is_interrupted;
+            if self.is_interrupted {
+                return Err(ErrorKind::Interrupted.into());
+            }
+            let length = self.received.len().min(20);
+            self.received.read(&mut buffer[..length])
+        }
+    }
+
+    // Guards against a client that takes an interrupted read for a missing response.
+    #[test]
+    fn an_interrupted_read_does_not_end_a_response() {
+        let received = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+        let mut connection = InterruptedConnection { received, is_interrupted: false };
+        let response = read_response(&mut connection, &mut Vec::new());
+        assert_eq!(response.map(|response| response.status), Some(200));
+    }
+}
