--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -145,7 +145,8 @@
         id: RequestId,
         /// Class of the request. A request of an unknown class fails at once.
         class: ClassId,
-        /// How long the client still waits; if the body is pending, from its last byte on.
+        /// How long the client still waits. If the body is pending, the client may wait longer, since its time
+        /// counts from the last byte.
         time_left: Micros,
         /// Tenant of the request, `None` where the service is not shared.
         tenant: Option<TenantId>,
--- a/crates/proxy/src/downstream/body_pace.rs
+++ b/crates/proxy/src/downstream/body_pace.rs
@@ -70,8 +70,8 @@
     }
 
     /// Returns the earliest time at which the body's last byte may have arrived: now while the proxy waits for the
-    /// client, and otherwise when it last did so. What has arrived since then is unread, and the kernel does not tell
-    /// when it arrived.
+    /// client, and otherwise when it last did so. Bytes that arrived later are unread, and the kernel does not tell when
+    /// they arrived.
     pub fn earliest_end(&self) -> Instant {
         if self.waiting_since().is_some() { Instant::now() } else { self.last_waited_at.get() }
     }
