Bound the whole wait of a test for a log line

Cause: the time limit started anew with each line. Change: one deadline for the whole wait, and the missing text in the panic.

--- a/crates/proxy/tests/common/balancer.rs
+++ b/crates/proxy/tests/common/balancer.rs
@@ -138,9 +138,16 @@
         assert!(kill.wait().expect("the exit status of kill is read").success());
     }
 
-    /// Waits for a log line that contains `text`.
+    /// Waits for a log line that contains `text`. Other lines do not extend the time limit.
     pub fn wait_for_log(&self, text: &str) {
-        while !self.log.recv_timeout(EVENT_TIMEOUT).expect("a log line arrives").contains(text) {}
+        let deadline = Instant::now() + EVENT_TIMEOUT;
+        loop {
+            let time_left = deadline.saturating_duration_since(Instant::now());
+            let line = self.log.recv_timeout(time_left);
+            if line.unwrap_or_else(|_| panic!("no log line contains \"{text}\"")).contains(text) {
+                return;
+            }
+        }
     }
 
     /// Returns the number of descriptors that the process has open.
