Add review case 6: a late second answer serves another client's request

Cause: ConnectionPool::take_idle reuses a connection whose answer ended less than 20 ms ago if the upstream has no other idle one, so an answer that comes a second time some milliseconds late is read as the answer to the next request. Change: the case with its claim, the stand-ins that the cases of this review share, and the script that builds them. No code of the project changes.

--- /dev/null
+++ b/review/standins-2/main.rs
@@ -0,0 +1,19 @@
+//! The stand-ins of the cases of this review: `standins-2 NAME NUMBER` runs one case.
+
+#![allow(dead_code)]
+
+mod foreign_answer;
+mod kit;
+
+fn main() {
+    let mut arguments = std::env::args().skip(1);
+    let name = arguments.next().unwrap_or_default();
+    let number = arguments.next().and_then(|number| number.parse().ok()).unwrap_or(0);
+    match name.as_str() {
+        "foreign_answer" => foreign_answer::run(number),
+        _ => {
+            eprintln!("no such case: {name:?}");
+            std::process::exit(kit::COULD_NOT_RUN)
+        }
+    }
+}
