Add review case 7: a slow discovery is never heard and drains are missed

Cause: every call to discovery is given up after 2.2 s, and nothing lengthens that limit, so answers that take longer are never read, however often they are asked for. Change: the case with its claim. No code of the project changes.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -4,6 +4,7 @@
 
 mod foreign_answer;
 mod kit;
+mod slow_discovery;
 
 fn main() {
     let mut arguments = std::env::args().skip(1);
@@ -11,6 +12,7 @@
     let number = arguments.next().and_then(|number| number.parse().ok()).unwrap_or(0);
     match name.as_str() {
         "foreign_answer" => foreign_answer::run(number),
+        "slow_discovery" => slow_discovery::run(number),
         _ => {
             eprintln!("no such case: {name:?}");
             std::process::exit(kit::COULD_NOT_RUN)
