Add review case 8: an answer that never ends leaves its request without an end

Cause: an answer of no declared length is passed on after 100 ms, and from then on only a stall of 20 s ends it, not the time of its request. Change: the case with its claim. No code of the project changes.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -4,6 +4,7 @@
 
 mod foreign_answer;
 mod kit;
+mod never_ending;
 mod slow_discovery;
 
 fn main() {
@@ -12,6 +13,7 @@
     let number = arguments.next().and_then(|number| number.parse().ok()).unwrap_or(0);
     match name.as_str() {
         "foreign_answer" => foreign_answer::run(number),
+        "never_ending" => never_ending::run(number),
         "slow_discovery" => slow_discovery::run(number),
         _ => {
             eprintln!("no such case: {name:?}");
