Add review case 9: of many commands sent at once only the first is answered

Cause: input that follows an open request is read ahead and dropped beyond 16 KiB, and the connection is closed after the one response, although whole requests are buffered. Change: the case with its claim. No code of the project changes.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -4,6 +4,7 @@
 
 mod foreign_answer;
 mod kit;
+mod many_commands;
 mod never_ending;
 mod slow_discovery;
 
@@ -13,6 +14,7 @@
     let number = arguments.next().and_then(|number| number.parse().ok()).unwrap_or(0);
     match name.as_str() {
         "foreign_answer" => foreign_answer::run(number),
+        "many_commands" => many_commands::run(number),
         "never_ending" => never_ending::run(number),
         "slow_discovery" => slow_discovery::run(number),
         _ => {
