Add review case 7: a crowd that stops half way delays every request past its time

Cause: connections wait for a permit one after another, a connection with half a body keeps its permit for 2.8 s and may not be evicted, and nothing bounds how long a connection waits in the accept queue. No code of the project changes.

--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -195,14 +195,16 @@
     pub known: String,
     pub settings: String,
     pub seed: u64,
+    /// How many descriptors the balancer may hold.
+    pub sockets: usize,
 }
 
 impl Config {
     fn json(&self, name: &str, listen: SocketAddr) -> String {
         format!(
             "{{\"name\":\"{name}\",\"listen\":\"{listen}\",\"discovery\":\"{}\",\"seed\":\"{:016x}\",\
-             \"limits\":{{\"cores\":1.0,\"memory_mb\":128,\"sockets\":512}},\"known\":{},\"settings\":{}}}",
-            self.discovery, self.seed, self.known, self.settings
+             \"limits\":{{\"cores\":1.0,\"memory_mb\":128,\"sockets\":{}}},\"known\":{},\"settings\":{}}}",
+            self.discovery, self.seed, self.sockets, self.known, self.settings
         )
     }
 }
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+mod crowd;
 mod foreign_answer;
 mod kit;
 mod many_commands;
@@ -13,6 +14,7 @@
     let name = arguments.next().unwrap_or_default();
     let number = arguments.next().and_then(|number| number.parse().ok()).unwrap_or(0);
     match name.as_str() {
+        "crowd" => crowd::run(number),
         "foreign_answer" => foreign_answer::run(number),
         "many_commands" => many_commands::run(number),
         "never_ending" => never_ending::run(number),
--- a/review/standins-2/never_ending.rs
+++ b/review/standins-2/never_ending.rs
@@ -46,8 +46,13 @@
     let discovery = Discovery::start(&case.record, serving(&upstreams));
     let settings =
         Settings { balancers: 1, me: 0, mode: "automatic", deadline_ms: DEADLINE_MS, rules: SLOW_START };
-    let config =
-        Config { discovery: discovery.address, known: discovery.list(), settings: settings.json(), seed: 7 };
+    let config = Config {
+        discovery: discovery.address,
+        known: discovery.list(),
+        settings: settings.json(),
+        seed: 7,
+        sockets: 512,
+    };
     let address = case.start_balancer("n0", &config);
     case.wait_ready(address);
 
