--- a/review/standins-2/crowd.rs
+++ b/review/standins-2/crowd.rs
@@ -1,7 +1,7 @@
 //! Case: a crowd of clients connects and stops half way through a request.
 
-use std::io::Write;
-use std::net::TcpStream;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Mutex;
 use std::thread;
@@ -10,9 +10,10 @@
 use crate::kit::*;
 
 const UPSTREAMS: usize = 3;
-/// Clients that send a request but for the second half of its body, and stay.
-const CROWD: usize = 600;
-/// Requests of sound clients, each on a new connection, one in 100 ms from half a second after the crowd on.
+/// Clients that send a request but for the second half of its body, and stay until they are answered.
+const CROWD: usize = 3000;
+const CROWD_INTERVAL: Duration = Duration::from_millis(2);
+/// Requests of sound clients, each on a new connection, one in 100 ms from a second after the first of the crowd on.
 const REQUESTS: usize = 80;
 const DEADLINE_MS: u32 = 2000;
 /// The pages: up to half a second after its time an answer only earns nothing; and each time limit grows by 50 ms.
@@ -20,6 +21,33 @@
 /// How long the clients look on, for the record.
 const LOOK_ON: Duration = Duration::from_secs(25);
 
+/// The crowd: each member sends half a request, stays until the balancer answers it or ends its connection, and closes then.
+pub fn members(address: SocketAddr) {
+    let crowd: Mutex<Vec<TcpStream>> = Mutex::default();
+    let is_waiting = |client: &mut TcpStream| matches!(client.read(&mut [0; 512]), Err(error) if error.kind() == std::io::ErrorKind::WouldBlock);
+    thread::scope(|scope| {
+        scope.spawn(|| loop {
+            crowd.lock().unwrap().retain_mut(is_waiting);
+            thread::sleep(Duration::from_millis(2));
+        });
+        let started = Instant::now();
+        for member in 0..CROWD {
+            thread::sleep(
+                (started + CROWD_INTERVAL * member as u32).saturating_duration_since(Instant::now()),
+            );
+            let Ok(mut client) = TcpStream::connect(address) else { continue };
+            let request = format!(
+                "POST /api HTTP/1.1\r\nHost: backend.local\r\nReq-Id: c{member:015x}\r\nReq-Kind: pay\r\n\
+                 Req-Owner: acme\r\nReq-Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: 200\r\n\r\n{}",
+                "b".repeat(100)
+            );
+            let _ = client.write_all(request.as_bytes());
+            let _ = client.set_nonblocking(true);
+            crowd.lock().unwrap().push(client);
+        }
+    });
+}
+
 pub fn run(number: u32) {
     let case = Case::open(number);
     let upstreams: Vec<Upstream> = (0..UPSTREAMS)
@@ -47,22 +75,12 @@
     let address = case.start_balancer("n0", &config);
     case.wait_ready(address);
 
-    // One descriptor for each, so that the case also runs where a process may hold 1,024.
-    let mut crowd: Vec<TcpStream> = Vec::new();
     if case.trouble {
-        for member in 0..CROWD {
-            let Ok(mut client) = TcpStream::connect(address) else { continue };
-            let request = format!(
-                "POST /api HTTP/1.1\r\nHost: backend.local\r\nReq-Id: c{member:015x}\r\nReq-Kind: pay\r\n\
-                 Req-Owner: acme\r\nReq-Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: 200\r\n\r\n{}",
-                "b".repeat(100)
-            );
-            let _ = client.write_all(request.as_bytes());
-            crowd.push(client);
-        }
-        case.record.line(&format!("crowd: {} connections, half a request on each", crowd.len()));
+        // In a process of its own, so that the case also runs where a process may hold 1,024 descriptors.
+        case.start_helper(&["crowd_members", &number.to_string(), &address.to_string()]);
+        case.record.line(&format!("crowd: {CROWD} clients, one in {CROWD_INTERVAL:?}, begin to come"));
     }
-    thread::sleep(Duration::from_millis(500));
+    thread::sleep(Duration::from_millis(1000));
 
     let (answered, closed, late) = (AtomicU32::new(0), AtomicU32::new(0), AtomicU32::new(0));
     let slowest = Mutex::new(0.0f64);
--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -68,6 +68,7 @@
     pub temp: PathBuf,
     pub record: Arc<Record>,
     balancers: Mutex<Vec<Child>>,
+    helpers: Mutex<Vec<Child>>,
 }
 
 impl Case {
@@ -80,7 +81,7 @@
         let record = Arc::new(Record { started: Instant::now(), file: Mutex::new(file) });
         let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
         record.line(&format!("case {number}, disruption {}", if trouble { "on" } else { "off" }));
-        Arc::new(Case { root, trouble, temp, record, balancers: Mutex::default() })
+        Arc::new(Case { root, trouble, temp, record, balancers: Mutex::default(), helpers: Mutex::default() })
     }
 
     /// Starts a balancer by the `run` of the deploy file, with the environment of the deployment page.
@@ -148,6 +149,15 @@
         self.end(COULD_NOT_RUN, "a balancer was not ready within 30 s");
     }
 
+    /// Starts this program once more, as a further stand-in that ends with the case.
+    pub fn start_helper(&self, arguments: &[&str]) {
+        let mut command = Command::new(std::env::current_exe().expect("the program is known"));
+        // SAFETY: as in `start_managed_balancer`.
+        unsafe { command.pre_exec(end_with_parent) };
+        let child = command.args(arguments).stdin(Stdio::null()).stdout(Stdio::null()).spawn();
+        self.helpers.lock().unwrap().push(child.expect("the helper starts"));
+    }
+
     /// Whether all balancers still run.
     pub fn balancers_run(&self) -> bool {
         self.balancers.lock().unwrap().iter_mut().all(|child| matches!(child.try_wait(), Ok(None)))
@@ -155,7 +165,8 @@
 
     /// Ends all balancers, writes the verdict and exits.
     pub fn end(&self, code: i32, verdict: &str) -> ! {
-        for child in self.balancers.lock().unwrap().iter_mut() {
+        for child in self.helpers.lock().unwrap().iter_mut().chain(self.balancers.lock().unwrap().iter_mut())
+        {
             let _ = child.kill();
             let _ = child.wait();
         }
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -14,6 +14,10 @@
     let name = arguments.next().unwrap_or_default();
     let number = arguments.next().and_then(|number| number.parse().ok()).unwrap_or(0);
     match name.as_str() {
+        "crowd_members" => {
+            let address = std::env::args().nth(3).and_then(|address| address.parse().ok());
+            crowd::members(address.expect("an address"))
+        }
         "crowd" => crowd::run(number),
         "evacuation" => evacuation::run(number),
         "many_commands" => many_commands::run(number),
