--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -6,6 +6,7 @@
 
 mod balancer;
 mod config;
+mod crowd;
 mod disconnect;
 mod endpoint_list;
 mod in_flight;
@@ -19,6 +20,7 @@
 use std::time::Duration;
 
 pub use balancer::Balancer;
+pub use crowd::{Crowd, CrowdEnds};
 pub use disconnect::{Disconnect, disconnect, try_disconnect};
 pub use endpoint_list::{SNAPSHOT_REQUEST, endpoint, endpoint_list, read_poll, send_snapshot, send_update};
 pub use in_flight::RequestInFlight;
--- /dev/null
+++ b/crates/proxy/tests/memory_limit.rs
@@ -0,0 +1,256 @@
+//! The resident memory of real processes under crowds that make them hold as much as they can, and the requests of other
+//! clients meanwhile. Each test names the form of its load.
+
+mod common;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use common::*;
+
+/// The smallest memory limit of the platform, in MB.
+const MEMORY_MB: usize = 32;
+/// The largest limit on descriptors of the platform.
+const DESCRIPTORS: usize = 1024;
+/// Number of clients of a crowd, about as many as the balancer has permits for.
+const CROWD_SIZE: usize = 550;
+/// How long a crowd stays.
+const STAY: Duration = Duration::from_millis(3000);
+/// Pause between two rounds of writes.
+const ROUND_PAUSE: Duration = Duration::from_millis(100);
+/// Time after which the memory of a crowd that has left must be free again.
+const RELEASE_TIME: Duration = Duration::from_secs(3);
+/// How much more than before the crowd may be resident after [`RELEASE_TIME`], in kB: an eighth of the smallest limit.
+const MAX_RETAINED_KB: usize = 4 << 10;
+/// Number of upstreams.
+const UPSTREAM_COUNT: usize = 4;
+/// How long an upstream works on a request of the crowd.
+const CROWD_WORK: Duration = Duration::from_millis(1500);
+/// Least share of the requests of other clients that must be served while a crowd stays, in percent.
+const MIN_SERVED_PERCENT: usize = 90;
+/// Number of header fields of a head with many of them, a little fewer than a head may have.
+const FIELD_COUNT: usize = 90;
+
+/// Locked during a test: each takes several cores and over a thousand descriptors, so they run one after the other.
+static ONE_CROWD: Mutex<()> = Mutex::new(());
+
+fn lock_crowd() -> MutexGuard<'static, ()> {
+    ONE_CROWD.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A load by a crowd.
+struct Load {
+    /// The response of the upstreams to a request of the crowd, written after [`CROWD_WORK`] if `works` is set.
+    respond: fn(&mut TcpStream),
+    works: bool,
+    /// The parts that each client writes.
+    parts_of: fn(usize) -> Vec<Vec<u8>>,
+}
+
+/// What was measured while a crowd stayed and after it left.
+#[derive(Debug)]
+struct Measured {
+    at_rest_kb: usize,
+    peak_kb: usize,
+    released_kb: usize,
+    others_sent: usize,
+    others_served: usize,
+    ends: CrowdEnds,
+}
+
+/// Starts upstreams that answer other clients at once and the crowd as the load says.
+fn start_upstreams(load: &Load) -> Vec<std::net::SocketAddr> {
+    let (answer, works) = (load.respond, load.works);
+    let start = |_| {
+        let upstream = Peer::new();
+        let address = upstream.address;
+        let requests = upstream.serve(move |message, stream| {
+            if message.header("req-id").is_some_and(|id| id.starts_with("other-")) {
+                return respond_ok(stream);
+            }
+            if works {
+                std::thread::sleep(CROWD_WORK);
+            }
+            answer(stream);
+        });
+        std::thread::spawn(move || for _ in requests {});
+        address
+    };
+    (0..UPSTREAM_COUNT).map(start).collect()
+}
+
+/// Sends short requests, each on a new connection, until `is_over`. Returns how many were sent and how many were served.
+fn send_short_requests(address: std::net::SocketAddr, is_over: &AtomicBool) -> (usize, usize) {
+    let (mut sent, mut served) = (0, 0);
+    while !is_over.load(Ordering::Relaxed) {
+        let text = request("look", &format!("other-{sent}"), "Req-Deadline-Ms: 1000\r\n");
+        sent += 1;
+        served += usize::from(status_of_exchange(address, &text) == Some(200));
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    (sent, served)
+}
+
+/// Sends a request on a new connection, and returns the status of the response; `None` if none arrives within 2 s.
+fn status_of_exchange(address: std::net::SocketAddr, text: &str) -> Option<u16> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
+    stream.write_all(text.as_bytes()).ok()?;
+    read_message(&mut stream).map(|message| message.status())
+}
+
+/// Runs a load against a balancer with these limits.
+fn measure(load: &Load, memory_mb: usize, descriptors: usize) -> Measured {
+    let upstreams = start_upstreams(load);
+    let balancer = Setup::with_upstreams(&upstreams).memory_mb(memory_mb).sockets(descriptors).start();
+    assert_eq!(balancer.send(&request("look", "other-first", "")).status(), 200);
+    let at_rest_kb = balancer.resident_memory_kb();
+    let is_over = Arc::new(AtomicBool::new(false));
+    let mut crowd = Crowd::connect(&balancer, CROWD_SIZE * descriptors / DESCRIPTORS, load.parts_of);
+    let others = {
+        let (address, is_over) = (balancer.address, is_over.clone());
+        std::thread::spawn(move || send_short_requests(address, &is_over))
+    };
+    let start = Instant::now();
+    while start.elapsed() < STAY {
+        crowd.write_round();
+        std::thread::sleep(ROUND_PAUSE);
+    }
+    is_over.store(true, Ordering::Relaxed);
+    let (others_sent, others_served) = others.join().expect("the other client does not panic");
+    let ends = crowd.read_responses();
+    drop(crowd);
+    std::thread::sleep(RELEASE_TIME);
+    Measured {
+        at_rest_kb,
+        peak_kb: balancer.peak_memory_kb(),
+        released_kb: balancer.resident_memory_kb(),
+        others_sent,
+        others_served,
+        ends,
+    }
+}
+
+/// Runs a load at the smallest memory limit and the largest limit on descriptors. Asserts that the process stays within its
+/// limit, releases the memory afterwards and serves other clients.
+#[track_caller]
+fn assert_held_within_limit(load: &Load) {
+    assert_held_within(load, MEMORY_MB, DESCRIPTORS);
+}
+
+#[track_caller]
+fn assert_held_within(load: &Load, memory_mb: usize, descriptors: usize) {
+    let _one_crowd = lock_crowd();
+    let measured = measure(load, memory_mb, descriptors);
+    println!("{memory_mb} MB, {descriptors} descriptors: {measured:?}");
+    let Measured { at_rest_kb, peak_kb, released_kb, others_sent, others_served, ends } = measured;
+    assert!(peak_kb < memory_mb << 10, "the process used {peak_kb} kB, its limit is {memory_mb} MB");
+    assert!(released_kb < at_rest_kb + MAX_RETAINED_KB, "{released_kb} kB are still resident");
+    assert!(
+        others_served * 100 >= others_sent * MIN_SERVED_PERCENT,
+        "{others_served} of {others_sent} short requests were served"
+    );
+    assert_eq!(ends.without_answer, 0, "connections ended without an answer: {ends:?}");
+}
+
+/// Returns the head of a request of the class `pay` whose body has this length, or is chunked if there is none.
+fn body_head(number: usize, length: Option<usize>) -> Vec<u8> {
+    let framing =
+        length.map_or("Transfer-Encoding: chunked".to_owned(), |length| format!("Content-Length: {length}"));
+    let text = request("pay", &format!("r-{number}"), "");
+    text.replace("Content-Length: 4\r\n\r\nbody", &format!("{framing}\r\n\r\n")).into_bytes()
+}
+
+/// Returns header fields that together have about this many bytes.
+fn many_fields(total_bytes: usize) -> String {
+    let value_bytes = (total_bytes / FIELD_COUNT).saturating_sub("x00: \r\n".len());
+    (0..FIELD_COUNT).map(|number| format!("x{number:02}: {}\r\n", "v".repeat(value_bytes))).collect()
+}
+
+fn respond_60_kb(stream: &mut TcpStream) {
+    respond(stream, "200 OK", "", &vec![b'x'; 60 << 10]);
+}
+
+fn respond_with_long_head(stream: &mut TcpStream) {
+    respond(stream, "200 OK", &many_fields(15 << 10), &vec![b'x'; 60 << 10]);
+}
+
+fn respond_endlessly(stream: &mut TcpStream) {
+    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4194304\r\n\r\n");
+    let _ = stream.write_all(&vec![b'x'; 4 << 20]);
+}
+
+#[test]
+fn a_crowd_that_sends_heads_slowly_is_held_within_the_memory_limit() {
+    let head = |_| {
+        let head = format!("GET /api HTTP/1.1\r\nHost: b\r\nX-Long: {}", "x".repeat(16_000));
+        head.as_bytes().chunks(700).map(<[u8]>::to_vec).collect()
+    };
+    assert_held_within_limit(&Load { respond: respond_ok, works: true, parts_of: head });
+}
+
+#[test]
+fn a_crowd_that_sends_heads_of_very_many_fields_is_held_within_the_memory_limit() {
+    let head = |number| vec![request("look", &format!("r-{number}"), &many_fields(600)).into_bytes()];
+    assert_held_within_limit(&Load { respond: respond_ok, works: true, parts_of: head });
+}
+
+#[test]
+fn a_crowd_that_sends_long_heads_of_very_many_fields_is_held_within_the_memory_limit() {
+    let head = |number| vec![request("look", &format!("r-{number}"), &many_fields(15 << 10)).into_bytes()];
+    assert_held_within_limit(&Load { respond: respond_ok, works: true, parts_of: head });
+}
+
+#[test]
+fn a_crowd_that_sends_more_behind_an_open_request_is_held_within_the_memory_limit() {
+    let pipelined = |number| {
+        let head = request("look", &format!("r-{number}"), "").into_bytes();
+        vec![[head, vec![b'x'; 64 << 10]].concat()]
+    };
+    assert_held_within_limit(&Load { respond: respond_ok, works: true, parts_of: pipelined });
+}
+
+#[test]
+fn a_crowd_that_stops_in_the_middle_of_buffered_bodies_is_held_within_the_memory_limit() {
+    let stalled = |number| vec![[body_head(number, Some(64 << 10)), vec![b'x'; 63 << 10]].concat()];
+    assert_held_within_limit(&Load { respond: respond_ok, works: true, parts_of: stalled });
+}
+
+#[test]
+fn a_crowd_that_stops_in_the_middle_of_large_bodies_is_held_within_the_memory_limit() {
+    let stalled = |number| vec![[body_head(number, Some(8 << 20)), vec![b'x'; 3 << 20]].concat()];
+    assert_held_within_limit(&Load { respond: respond_ok, works: true, parts_of: stalled });
+}
+
+#[test]
+fn a_crowd_that_sends_tiny_chunks_is_held_within_the_memory_limit() {
+    let chunked = |number| vec![[body_head(number, None), b"1\r\nx\r\n".repeat(20_000)].concat()];
+    assert_held_within_limit(&Load { respond: respond_ok, works: true, parts_of: chunked });
+}
+
+#[test]
+fn a_crowd_whose_bodies_wait_for_their_upstreams_is_held_within_the_memory_limit() {
+    let complete = |number| vec![[body_head(number, Some(60 << 10)), vec![b'x'; 60 << 10]].concat()];
+    assert_held_within_limit(&Load { respond: respond_60_kb, works: true, parts_of: complete });
+}
+
+#[test]
+fn a_crowd_that_does_not_read_short_responses_is_held_within_the_memory_limit() {
+    let complete = |number| vec![request("look", &format!("r-{number}"), "").into_bytes()];
+    assert_held_within_limit(&Load { respond: respond_60_kb, works: false, parts_of: complete });
+}
+
+#[test]
+fn a_crowd_that_does_not_read_long_responses_is_held_within_the_memory_limit() {
+    let complete = |number| vec![request("look", &format!("r-{number}"), "").into_bytes()];
+    assert_held_within_limit(&Load { respond: respond_endlessly, works: false, parts_of: complete });
+}
+
+#[test]
+fn a_crowd_that_gets_responses_with_long_heads_is_held_within_the_memory_limit() {
+    let complete = |number| vec![request("look", &format!("r-{number}"), "").into_bytes()];
+    assert_held_within_limit(&Load { respond: respond_with_long_head, works: false, parts_of: complete });
+}
