--- a/crates/proxy/src/discovery/client.rs
+++ b/crates/proxy/src/discovery/client.rs
@@ -17,8 +17,8 @@
 
 /// Path of the complete list. A watch call adds a query to it.
 const LIST_PATH: &str = "/registry/instances";
-/// Maximum size of a response body, in bytes. It is three times the size of the largest fleet's list.
-const MAX_LIST_BYTES: usize = 4 << 20;
+/// Maximum size of a response body, in bytes. It is twice the size of the largest fleet's list.
+const MAX_LIST_BYTES: usize = 2 << 20;
 
 /// The request of a call.
 #[derive(Clone, Copy, Debug)]
--- a/crates/proxy/src/discovery/registry.rs
+++ b/crates/proxy/src/discovery/registry.rs
@@ -89,6 +89,11 @@
         }
     }
 
+    /// Returns the number of listed endpoints.
+    pub fn endpoint_count(&self) -> usize {
+        self.endpoints.len()
+    }
+
     /// Returns the address of a server, or `None` if the server is not listed or is excluded.
     pub fn target(&self, server: ServerId) -> Option<Target> {
         let registered = self.endpoints.get(&server)?;
--- a/crates/proxy/src/dispatch/dispatcher.rs
+++ b/crates/proxy/src/dispatch/dispatcher.rs
@@ -81,6 +81,11 @@
         self.endpoints.has_list()
     }
 
+    /// Returns the number of endpoints that have an id.
+    pub fn endpoint_count(&self) -> usize {
+        self.endpoints.count()
+    }
+
     /// Applies the operator overrides if they have changed, and then passes an event to the policy.
     pub(super) fn submit_event(self: &Rc<Self>, event: Event) {
         self.apply_overrides();
--- a/crates/proxy/src/dispatch/endpoint_table.rs
+++ b/crates/proxy/src/dispatch/endpoint_table.rs
@@ -33,6 +33,11 @@
         self.has_list.get()
     }
 
+    /// Returns the number of listed endpoints.
+    pub(super) fn count(&self) -> usize {
+        self.with_registry(|registry| registry.endpoint_count())
+    }
+
     /// Returns the address of a server, or `None` if the server is not listed or is excluded.
     pub(super) fn target(&self, server: ServerId) -> Option<Target> {
         self.with_registry(|registry| registry.target(server))
--- a/crates/proxy/src/downstream/body_pace.rs
+++ b/crates/proxy/src/downstream/body_pace.rs
@@ -83,7 +83,7 @@
 
     /// Returns since when the proxy has waited for the client: since more of the body is wanted and the socket is
     /// empty. `None` while it does not wait.
-    fn waiting_since(&self) -> Option<Instant> {
+    pub fn waiting_since(&self) -> Option<Instant> {
         Some(self.empty_since.get()?.max(self.wanted_since.get()?))
     }
 
--- a/crates/proxy/src/downstream/client_stream.rs
+++ b/crates/proxy/src/downstream/client_stream.rs
@@ -11,10 +11,15 @@
 
 use crate::downstream::arrival_times::ArrivalTimes;
 use crate::downstream::framing::{Framing, parse_request_head};
+use crate::memory::MemoryBudget;
 use crate::sockets::Socket;
 
 /// Maximum size in bytes of a request head.
 pub(super) const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Maximum size in bytes of a request head while memory is short. Short requests have heads of a few hundred bytes.
+pub(super) const MAX_TIGHT_HEAD_BYTES: usize = 4 * 1024;
+/// Number of bytes by which the read-ahead buffer grows.
+const BUFFER_STEP_BYTES: usize = 1024;
 /// Maximum size in bytes of the read-ahead buffer. It holds hundreds of requests that a client sends at once.
 const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
 /// Maximum number of bytes that one system call reads.
@@ -44,14 +49,18 @@
     /// Whether input after an open request was dropped because the buffer was full. No further input is buffered then,
     /// because it could not be read as a request.
     overflowed: bool,
+    /// Whether the runtime was told that the socket is empty although it was not read to its end.
+    paused: bool,
     /// When a query of the kernel last found the client connected.
     last_connected_at: Option<Instant>,
+    /// The memory of the process.
+    memory: Rc<MemoryBudget>,
 }
 
 impl ClientStream {
     /// Creates the stream of a socket from which nothing has been read. Bytes that are already in it count as arrived
     /// at `accepted_at`.
-    pub fn new(socket: Socket, accepted_at: Instant) -> Rc<RefCell<ClientStream>> {
+    pub fn new(socket: Socket, accepted_at: Instant, memory: Rc<MemoryBudget>) -> Rc<RefCell<ClientStream>> {
         Rc::new(RefCell::new(ClientStream {
             socket,
             buffered: Vec::new(),
@@ -59,7 +68,9 @@
             unread_since: Some(accepted_at),
             ended: false,
             overflowed: false,
+            paused: false,
             last_connected_at: None,
+            memory,
         }))
     }
 
@@ -73,7 +84,7 @@
             return Poll::Ready(Ok(0));
         }
         let mut chunk = [0; READ_CHUNK_BYTES];
-        let Poll::Ready(result) = self.socket.poll_read(cx, &mut chunk[..limit.min(READ_CHUNK_BYTES)]) else {
+        let Poll::Ready(result) = self.poll_read(cx, &mut chunk[..limit.min(READ_CHUNK_BYTES)]) else {
             self.unread_since = None;
             return Poll::Pending;
         };
@@ -82,6 +93,26 @@
         Poll::Ready(Ok(read))
     }
 
+    fn poll_read(&mut self, cx: &mut Context<'_>, chunk: &mut [u8]) -> Poll<io::Result<usize>> {
+        if std::mem::take(&mut self.paused)
+            && let Some(read) = self.socket.read_now(chunk)
+        {
+            return Poll::Ready(read);
+        }
+        self.socket.poll_read(cx, chunk)
+    }
+
+    /// Returns the memory in bytes of the input that was read but not yet passed on.
+    pub fn buffered_capacity(&self) -> usize {
+        self.buffered.capacity()
+    }
+
+    /// Drops the input that was not passed on, and all input that is read ahead from now on: none of it is a request.
+    pub fn drop_input(&mut self) {
+        self.overflowed = true;
+        self.clear_buffered();
+    }
+
     /// Returns the bytes that were read but not yet passed on.
     pub fn buffered(&self) -> &[u8] {
         &self.buffered
@@ -135,8 +166,14 @@
     /// Becomes ready once the client of a complete request has disconnected or ended its input. Reads and buffers the
     /// input that arrives meanwhile, since the end of input is visible only after the bytes before it were read. Input
     /// that exceeds the buffer is dropped, and the connection closes after the responses to the requests before it.
+    ///
+    /// While memory is short, a long input stays in the kernel, which reports its end anyway.
     pub fn poll_disconnected(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         for _ in 0..MAX_READS_PER_POLL {
+            if !self.may_read_ahead() {
+                self.paused = true;
+                return self.socket.poll_peer_closed(cx);
+            }
             match ready!(self.poll_fill(cx, READ_CHUNK_BYTES)) {
                 Ok(1..) => {}
                 Ok(0) | Err(_) => return Poll::Ready(()),
@@ -166,6 +203,10 @@
     /// reads counts as connected.
     fn read_to_end_of_input(&mut self) -> bool {
         for _ in 0..MAX_READS_PER_DISCONNECT_CHECK {
+            if !self.may_read_ahead() {
+                self.last_connected_at = Some(Instant::now());
+                return self.socket.has_peer_closed();
+            }
             match self.read_from_kernel() {
                 Some(0) => return true,
                 Some(_) => {}
@@ -224,6 +265,16 @@
         self.overflowed = retained < bytes.len();
         let arrived_at = self.unread_since.unwrap_or_else(Instant::now);
         self.arrival_times.append(retained, arrived_at);
+        let needed = self.buffered.len() + retained;
+        if needed > self.buffered.capacity() {
+            let capacity = needed.next_multiple_of(BUFFER_STEP_BYTES);
+            self.buffered.reserve_exact(capacity - self.buffered.len());
+        }
         self.buffered.extend_from_slice(&bytes[..retained]);
     }
+
+    /// Returns whether more input may be read while a request is open. Input that is dropped takes no memory.
+    fn may_read_ahead(&self) -> bool {
+        self.ended || self.overflowed || self.memory.may_buffer(self.buffered.len())
+    }
 }
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
 use hyper::service::{Service, service_fn};
 use hyper::{Request, Response, StatusCode};
 use tokio::task::yield_now;
@@ -18,15 +17,14 @@
 use crate::downstream::connection_permits::ConnectionPermit;
 use crate::downstream::connection_stage::ConnectionStage;
 use crate::downstream::evacuation;
-use crate::downstream::framer::RequestFramer;
 use crate::downstream::linger::close_lingering;
-use crate::downstream::progress::{ConnectionProgress, IDLE_TIMEOUT, ProtocolError};
+use crate::downstream::progress::{ConnectionProgress, IDLE_TIMEOUT, Rejection};
 use crate::downstream::response_body::ResponseBody;
 use crate::downstream::server::{Server, UpstreamTransport};
 use crate::downstream::shutdown::UNUSED_CONNECTION_GRACE;
 use crate::lifecycle::Phase;
 use crate::log::limited_log_line;
-use crate::upstream::upstream_connection::MAX_HTTP_BUFFER_BYTES;
+use crate::memory::MemoryCause;
 
 /// Maximum time that a connection may stay open without a request in the phases in which every response closes its
 /// connection. It is shorter than [`IDLE_TIMEOUT`], since a client that still needs the connection sends its next request
@@ -65,16 +63,12 @@
                 )
             }
         });
-        let mut builder = http1::Builder::new();
-        builder.max_buf_size(MAX_HTTP_BUFFER_BYTES);
-        let framer = RequestFramer::new(stream.clone(), progress.clone());
-        let mut connection = builder.serve_connection(framer, service);
-        let driver = ConnectionDriver::new(&mut connection, &stream, &progress);
+        let _entry = self.connections.insert(&progress);
+        let driver = ConnectionDriver::new(stream.clone(), progress.clone(), self.memory.clone(), service);
+        // Drops the driver's references to the stream first, and cancels an open request with them.
         let Some(end) = self.run_connection(driver, &progress).await else { return };
         let error = error_status_to_send(&progress, end);
         log_close(&progress, end, self.lifecycle.phase());
-        // Drops hyper's references to the stream first, and cancels an open request with them.
-        drop(connection);
         let error = error.filter(|_| !progress.is_write_blocked());
         if (error.is_some() || progress.has_unread_request())
             && !progress.must_reset()
@@ -87,11 +81,11 @@
     /// Drives a connection to its end. Returns `None` if the process's lifecycle ends first.
     async fn run_connection<S>(
         &self,
-        mut driver: ConnectionDriver<'_, S>,
+        mut driver: ConnectionDriver<S>,
         progress: &ConnectionProgress,
     ) -> Option<ConnectionEnd>
     where
-        S: Service<Request<Incoming>, Response = Response<ResponseBody>, Error = Infallible> + Unpin,
+        S: Service<Request<Incoming>, Response = Response<ResponseBody>, Error = Infallible> + Clone + Unpin,
         S::Future: Unpin,
     {
         let mut phases = self.lifecycle.subscribe();
@@ -105,6 +99,7 @@
             let end = tokio::select! {
                 end = poll_fn(|cx| driver.poll_end(cx, deadline)) => end,
                 changed = phases.changed() => if changed.is_err() { return None } else { continue },
+                () = progress.wait_for_rejection() => ConnectionEnd::Finished,
             };
             if end == ConnectionEnd::TimedOut && driver.is_idle_with_unread_input() {
                 // The runtime has not polled the socket yet. Yielding lets it read the request that has arrived,
@@ -177,7 +172,10 @@
 /// Logs a connection that the proxy closes by itself, with the stage of its request.
 fn log_close(progress: &ConnectionProgress, end: ConnectionEnd, phase: Phase) {
     let stage = progress.stage();
-    if let Some(error) = progress.protocol_error() {
+    if let Some(Rejection::MemoryShort(cause)) = progress.rejection() {
+        let name = progress.request_name();
+        limited_log_line!("connection: closed because memory is short ({cause}, last request {name})");
+    } else if let Some(error) = progress.rejection() {
         limited_log_line!("connection: closed after an invalid request head: {error:?}");
     } else if end == ConnectionEnd::TimedOut && stage == ConnectionStage::Idle && phase.closes_connections() {
         let name = progress.request_name();
@@ -190,11 +188,21 @@
     }
 }
 
+/// Returns the status of the response to a request that is rejected for this cause; `None` if a response was begun.
+fn status_of_shortage(cause: MemoryCause) -> Option<StatusCode> {
+    match cause {
+        MemoryCause::StalledHead | MemoryCause::StalledBody => Some(StatusCode::REQUEST_TIMEOUT),
+        MemoryCause::LargeRequest | MemoryCause::NewRequest => Some(StatusCode::SERVICE_UNAVAILABLE),
+        MemoryCause::IdleUpstream | MemoryCause::IdleClient | MemoryCause::UnreadResponse => None,
+    }
+}
+
 /// Returns the status of the error response that is still to be sent when a connection ends; `None` if none is due.
 fn error_status_to_send(progress: &ConnectionProgress, end: ConnectionEnd) -> Option<StatusCode> {
-    match progress.protocol_error() {
-        Some(ProtocolError::MalformedHead) => Some(StatusCode::BAD_REQUEST),
-        Some(ProtocolError::HeadTooLarge) => Some(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE),
+    match progress.rejection() {
+        Some(Rejection::MalformedHead) => Some(StatusCode::BAD_REQUEST),
+        Some(Rejection::HeadTooLarge) => Some(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE),
+        Some(Rejection::MemoryShort(cause)) => status_of_shortage(cause),
         None if end == ConnectionEnd::TimedOut && progress.stage().is_receiving() => {
             Some(StatusCode::REQUEST_TIMEOUT)
         }
--- a/crates/proxy/src/downstream/connection_driver.rs
+++ b/crates/proxy/src/downstream/connection_driver.rs
@@ -1,10 +1,11 @@
-//! Polls hyper's connection together with the conditions that end it: the client's disconnection and the deadline of
-//! the connection's stage.
+//! Polls a client connection together with the conditions that end it: the client's disconnection and the deadline of the
+//! connection's stage.
 
 use std::cell::RefCell;
 use std::convert::Infallible;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use hyper::body::Incoming;
@@ -16,50 +17,80 @@
 use crate::downstream::client_stream::ClientStream;
 use crate::downstream::connection_stage::ConnectionStage;
 use crate::downstream::framer::RequestFramer;
+use crate::downstream::head_reader::{AdmittedRequest, HeadReader};
 use crate::downstream::progress::ConnectionProgress;
 use crate::downstream::response_body::ResponseBody;
+use crate::memory::{MemoryBudget, RequestCharge};
+use crate::upstream::upstream_connection::MAX_HTTP_BUFFER_BYTES;
+
+/// The smallest size in bytes that hyper allows for each of its buffers.
+const MIN_HTTP_BUFFER_BYTES: usize = 8 * 1024;
 
 /// Why a connection ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum ConnectionEnd {
-    /// Hyper has finished, or the client has disconnected.
+    /// Hyper has finished, the client has disconnected, or its request was rejected.
     Finished,
     /// The deadline of the connection's stage has passed.
     TimedOut,
 }
 
-/// Drives one connection. Hyper owns the framer, which shares `stream` and `progress` with the driver.
-pub struct ConnectionDriver<'a, S>
+/// Hyper's connection, which exists while a request is open: between requests, and while a head arrives, a client's
+/// connection takes none of its buffers.
+struct OpenRequest<S>
 where
     S: Service<Request<Incoming>, Response = Response<ResponseBody>, Error = Infallible>,
 {
-    connection: &'a mut http1::Connection<RequestFramer, S>,
-    stream: &'a RefCell<ClientStream>,
-    progress: &'a ConnectionProgress,
+    connection: http1::Connection<RequestFramer, S>,
+    _charge: RequestCharge,
+}
+
+/// Drives one connection. Its parts share the stream and the progress with the driver.
+pub struct ConnectionDriver<S>
+where
+    S: Service<Request<Incoming>, Response = Response<ResponseBody>, Error = Infallible>,
+{
+    head_reader: HeadReader,
+    /// `None` while no request is open.
+    open_request: Option<OpenRequest<S>>,
+    service: S,
+    stream: Rc<RefCell<ClientStream>>,
+    progress: Rc<ConnectionProgress>,
+    /// Whether the connection closes although no request is open.
+    closing: bool,
     /// Set to the deadline of the current stage.
     stage_timer: Pin<Box<Sleep>>,
 }
 
-impl<'a, S> ConnectionDriver<'a, S>
+impl<S> ConnectionDriver<S>
 where
-    S: Service<Request<Incoming>, Response = Response<ResponseBody>, Error = Infallible> + Unpin,
+    S: Service<Request<Incoming>, Response = Response<ResponseBody>, Error = Infallible> + Clone + Unpin,
     S::Future: Unpin,
 {
     /// Creates the driver of a connection that has not been polled yet.
     pub fn new(
-        connection: &'a mut http1::Connection<RequestFramer, S>,
-        stream: &'a RefCell<ClientStream>,
-        progress: &'a ConnectionProgress,
-    ) -> ConnectionDriver<'a, S> {
-        ConnectionDriver { connection, stream, progress, stage_timer: Box::pin(sleep(Duration::ZERO)) }
+        stream: Rc<RefCell<ClientStream>>,
+        progress: Rc<ConnectionProgress>,
+        memory: Rc<MemoryBudget>,
+        service: S,
+    ) -> ConnectionDriver<S> {
+        ConnectionDriver {
+            head_reader: HeadReader::new(stream.clone(), progress.clone(), memory),
+            open_request: None,
+            service,
+            stream,
+            progress,
+            closing: false,
+            stage_timer: Box::pin(sleep(Duration::ZERO)),
+        }
     }
 
-    /// Lets hyper close the connection after the current response, or now if the connection is idle. Does nothing
-    /// while a request is arriving that hyper has not seen: hyper would treat the connection as idle, and close it
-    /// without a response to that request.
+    /// Closes the connection after the current response, or now if the connection is idle. Does nothing while a request head
+    /// is arriving: its response closes the connection.
     pub fn start_graceful_shutdown(&mut self) {
-        if !self.is_receiving_request() {
-            Pin::new(&mut *self.connection).graceful_shutdown();
+        match &mut self.open_request {
+            Some(open) => Pin::new(&mut open.connection).graceful_shutdown(),
+            None => self.closing |= !self.is_receiving_head(),
         }
     }
 
@@ -72,9 +103,7 @@
     ) -> Poll<ConnectionEnd> {
         // Hyper notices a disconnected client only while it reads. Once the client has disconnected, nobody waits for
         // an open request, so the caller drops hyper's connection, which cancels the request.
-        if self.connection.poll_without_shutdown(cx).is_ready()
-            || self.progress.poll_disconnected(cx).is_ready()
-        {
+        if self.poll_requests(cx).is_ready() || self.progress.poll_disconnected(cx).is_ready() {
             return Poll::Ready(ConnectionEnd::Finished);
         }
         match deadline() {
@@ -83,6 +112,39 @@
         }
     }
 
+    /// Serves one request after the other. Becomes ready when no further request can be served.
+    fn poll_requests(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        loop {
+            if self.closing {
+                return Poll::Ready(());
+            }
+            let Some(open) = &mut self.open_request else {
+                match ready!(self.head_reader.poll_request(cx)) {
+                    Ok(Some(request)) => self.open_request = Some(self.start(request)),
+                    Ok(None) | Err(_) => return Poll::Ready(()),
+                }
+                continue;
+            };
+            if open.connection.poll_without_shutdown(cx).is_ready() {
+                return Poll::Ready(());
+            }
+            if self.progress.stage() != ConnectionStage::Idle {
+                return Poll::Pending;
+            }
+            self.open_request = None;
+        }
+    }
+
+    /// Passes a request to hyper.
+    fn start(&self, request: AdmittedRequest) -> OpenRequest<S> {
+        let framer = RequestFramer::new(self.stream.clone(), self.progress.clone(), request.head);
+        let mut builder = http1::Builder::new();
+        // The buffers hold the head, and otherwise are as small as hyper allows.
+        builder.max_buf_size(request.head.length.clamp(MIN_HTTP_BUFFER_BYTES, MAX_HTTP_BUFFER_BYTES));
+        let connection = builder.serve_connection(framer, self.service.clone());
+        OpenRequest { connection, _charge: request.charge }
+    }
+
     /// Returns whether the connection is in the idle stage although input has arrived that the runtime has not read
     /// yet.
     pub fn is_idle_with_unread_input(&self) -> bool {
@@ -96,12 +158,8 @@
         self.stage_timer.as_mut().poll(cx)
     }
 
-    /// Returns whether a part of a request has arrived that hyper has not seen.
-    fn is_receiving_request(&self) -> bool {
-        match self.progress.stage() {
-            ConnectionStage::Idle => self.stream.borrow().has_unread_input(),
-            ConnectionStage::Head => true,
-            ConnectionStage::Body | ConnectionStage::Open => false,
-        }
+    /// Returns whether a part of a request head has arrived.
+    fn is_receiving_head(&self) -> bool {
+        self.progress.stage() == ConnectionStage::Head || self.stream.borrow().has_unread_input()
     }
 }
--- a/crates/proxy/src/downstream/evictable_connections.rs
+++ b/crates/proxy/src/downstream/evictable_connections.rs
@@ -5,11 +5,13 @@
 use std::rc::Weak;
 use std::time::Duration;
 
+use hyper::StatusCode;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
 use crate::downstream::client_stream::ClientStream;
 use crate::downstream::connection_stage::ConnectionStage;
+use crate::downstream::linger::error_response;
 use crate::log::limited_log_line;
 
 /// Minimum time in the idle stage before a connection may be evicted, since a request may already be in transit.
@@ -41,6 +43,15 @@
 }
 
 impl EvictableConnection {
+    /// Sends the error response if the client has begun a request, as far as its socket accepts it now.
+    fn answer_incomplete_request(&self) {
+        let Some(stream) = self.stream.upgrade() else { return };
+        let stream = stream.borrow();
+        if !stream.buffered().is_empty() {
+            stream.socket().write_now(error_response(StatusCode::REQUEST_TIMEOUT).as_bytes());
+        }
+    }
+
     /// Returns whether the kernel's receive buffer has unread bytes from the client.
     fn has_unread_bytes(&self) -> bool {
         self.stream.upgrade().is_some_and(|stream| stream.borrow().socket().has_unread_bytes())
@@ -66,11 +77,25 @@
 }
 
 impl EvictableConnections {
+    /// Evicts the connection that has been idle longest, because memory is short.
+    pub fn evict_idle(&self) -> Eviction {
+        let eviction = self.evict_oldest_idle();
+        if eviction == Eviction::Evicted {
+            limited_log_line!("connection: closed while idle, to free memory");
+        }
+        eviction
+    }
+
+    /// Evicts the connection that has been idle longest. Closing a connection with unread input would reset it, and lose
+    /// the request in that input.
+    fn evict_oldest_idle(&self) -> Eviction {
+        evict_oldest_of(&self.idle, IDLE_PROTECTION, |connection| !connection.has_unread_input())
+    }
+
     /// Evicts the connection that has been idle longest. If none can be evicted, evicts the connection whose request
     /// head has been incomplete longest. Connections that entered their stage recently are protected.
     pub fn evict_oldest(&self) -> Eviction {
-        // Closing a connection with unread input would reset it, and lose the request in that input.
-        let idle = evict_oldest_of(&self.idle, IDLE_PROTECTION, |connection| !connection.has_unread_input());
+        let idle = self.evict_oldest_idle();
         if idle == Eviction::Evicted {
             limited_log_line!("connection: closed while idle, to free a permit");
             return Eviction::Evicted;
@@ -133,6 +158,7 @@
         .map(|(&key, _)| key);
     match candidate.and_then(|key| connections.remove(&key)) {
         Some(connection) => {
+            connection.answer_incomplete_request();
             connection.task.abort();
             Eviction::Evicted
         }
--- a/crates/proxy/src/downstream/framer.rs
+++ b/crates/proxy/src/downstream/framer.rs
@@ -1,5 +1,4 @@
-//! The transport between a client's socket and hyper. It parses each request head before hyper does, rejects invalid
-//! heads, and passes on the next request only after the response to the previous one has been written.
+//! The transport between a client's socket and hyper, for one request: it passes on the bytes of that request only.
 
 use std::cell::RefCell;
 use std::io;
@@ -9,30 +8,20 @@
 
 use hyper::rt::{Read, ReadBufCursor, Write};
 
-use crate::downstream::client_stream::{ClientStream, MAX_HEAD_BYTES, READ_CHUNK_BYTES};
+use crate::downstream::client_stream::{ClientStream, READ_CHUNK_BYTES};
 use crate::downstream::connection_stage::ConnectionStage;
-use crate::downstream::framing::{Framing, parse_request_head};
-use crate::downstream::progress::{ConnectionProgress, ProtocolError};
+use crate::downstream::framing::{Framing, RequestHead};
+use crate::downstream::progress::ConnectionProgress;
 
-/// How the next bytes of the input are handled.
+/// How much of the input belongs to the request.
 enum Expected {
-    /// The bytes belong to a request head, which is parsed before it is passed on.
-    Head,
-    /// This many bytes belong to the current request and are passed on.
+    /// This many bytes that were not passed on yet.
     Bytes(u64),
-    /// The bytes belong to a chunked body. All input is passed on until the connection ends.
+    /// The body is chunked. All input is passed on until the connection ends.
     UntilEnd,
 }
 
-/// The result of one step towards the next head.
-enum HeadStep {
-    /// Bytes were read or a head was accepted. The caller continues with the expected bytes.
-    Continue,
-    /// No further request is passed on: hyper sees the end of input.
-    EndOfInput,
-}
-
-/// The transport through which hyper reads the requests of a client connection and writes the responses.
+/// The transport through which hyper reads one request of a client connection and writes its response.
 pub struct RequestFramer {
     stream: Rc<RefCell<ClientStream>>,
     progress: Rc<ConnectionProgress>,
@@ -40,48 +29,25 @@
 }
 
 impl RequestFramer {
-    /// Creates the transport of a connection from which nothing has been read.
-    pub fn new(stream: Rc<RefCell<ClientStream>>, progress: Rc<ConnectionProgress>) -> RequestFramer {
-        RequestFramer { stream, progress, expected: Expected::Head }
+    /// Creates the transport of a request whose head is complete and at the start of the read-ahead buffer.
+    pub fn new(
+        stream: Rc<RefCell<ClientStream>>,
+        progress: Rc<ConnectionProgress>,
+        head: RequestHead,
+    ) -> RequestFramer {
+        let expected = match head.framing {
+            Framing::Length(body) => Expected::Bytes((head.length as u64).saturating_add(body)),
+            Framing::Chunked => Expected::UntilEnd,
+        };
+        RequestFramer { stream, progress, expected }
     }
 
-    /// Reads bytes of the next head, or accepts the head if it is complete.
-    fn poll_head(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<HeadStep>> {
-        if matches!(self.progress.stage(), ConnectionStage::Body | ConnectionStage::Open) {
-            // A request is open. Only a disconnection is reported; further requests are buffered until its response
-            // has been written.
-            ready!(self.stream.borrow_mut().poll_disconnected(cx));
-            return Poll::Ready(Ok(HeadStep::EndOfInput));
-        }
-        if self.stream.borrow().ends_before_next_request() {
-            // The response just written was the last on this connection.
-            return Poll::Ready(Ok(HeadStep::EndOfInput));
-        }
-        if self.buffered_bytes() > 0 && self.progress.stage() == ConnectionStage::Idle {
-            self.progress.record_head_started();
-        }
-        let parsed = parse_request_head(self.stream.borrow().buffered());
-        match parsed {
-            Err(_) => Poll::Ready(Ok(self.reject(ProtocolError::MalformedHead))),
-            Ok(Some(head)) => {
-                self.progress.record_head(head.framing);
-                self.expected = match head.framing {
-                    Framing::Length(body) => Expected::Bytes((head.length as u64).saturating_add(body)),
-                    Framing::Chunked => Expected::UntilEnd,
-                };
-                Poll::Ready(Ok(HeadStep::Continue))
-            }
-            Ok(None) if self.buffered_bytes() >= MAX_HEAD_BYTES => {
-                Poll::Ready(Ok(self.reject(ProtocolError::HeadTooLarge)))
-            }
-            Ok(None) => {
-                let free_bytes = MAX_HEAD_BYTES - self.buffered_bytes();
-                let step = match ready!(self.poll_fill(cx, free_bytes))? {
-                    0 => HeadStep::EndOfInput,
-                    _ => HeadStep::Continue,
-                };
-                Poll::Ready(Ok(step))
-            }
+    /// Waits for the end of the input after the request. Further requests are buffered until the response has been written,
+    /// and read after hyper's connection has been dropped.
+    fn poll_end_of_input(&self, cx: &mut Context<'_>) -> Poll<()> {
+        match self.progress.stage() {
+            ConnectionStage::Body | ConnectionStage::Open => self.stream.borrow_mut().poll_disconnected(cx),
+            ConnectionStage::Idle | ConnectionStage::Head => Poll::Pending,
         }
     }
 
@@ -116,13 +82,6 @@
         self.stream.borrow().buffered().len()
     }
 
-    /// Ends hyper's input. The connection's task sends the error response after it has dropped hyper's connection.
-    fn reject(&mut self, error: ProtocolError) -> HeadStep {
-        self.progress.record_protocol_error(error);
-        self.stream.borrow_mut().clear_buffered();
-        HeadStep::EndOfInput
-    }
-
     /// Records whether the socket accepted the bytes of a write, and returns the write's result.
     fn record_write<T>(&self, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
         if written.is_pending() {
@@ -141,27 +100,17 @@
         mut target: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         let this = &mut *self;
-        if this.progress.protocol_error().is_some() {
-            return Poll::Ready(Ok(()));
-        }
-        loop {
-            match this.expected {
-                Expected::Head => match ready!(this.poll_head(cx))? {
-                    HeadStep::Continue => {}
-                    HeadStep::EndOfInput => return Poll::Ready(Ok(())),
-                },
-                Expected::Bytes(0) => this.expected = Expected::Head,
-                Expected::Bytes(remaining) => {
-                    let passed = ready!(this.poll_pass_on(cx, &mut target, remaining))?;
-                    this.expected = Expected::Bytes(remaining - passed);
-                    return Poll::Ready(Ok(()));
-                }
-                Expected::UntilEnd => {
-                    ready!(this.poll_pass_on(cx, &mut target, u64::MAX))?;
-                    return Poll::Ready(Ok(()));
-                }
+        match this.expected {
+            Expected::Bytes(0) => ready!(this.poll_end_of_input(cx)),
+            Expected::Bytes(remaining) => {
+                let passed = ready!(this.poll_pass_on(cx, &mut target, remaining))?;
+                this.expected = Expected::Bytes(remaining - passed);
+            }
+            Expected::UntilEnd => {
+                ready!(this.poll_pass_on(cx, &mut target, u64::MAX))?;
             }
         }
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -184,11 +133,8 @@
         true
     }
 
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.progress.record_flush() && self.buffered_bytes() > 0 {
-            // The next request is already buffered, so the socket would not wake the reader for it.
-            cx.waker().wake_by_ref();
-        }
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.progress.record_flush();
         Poll::Ready(Ok(()))
     }
 
--- a/crates/proxy/src/downstream/framing.rs
+++ b/crates/proxy/src/downstream/framing.rs
@@ -4,6 +4,8 @@
 use httparse::{EMPTY_HEADER, Header, Request, Status};
 use thiserror::Error;
 
+use crate::memory::RequestSize;
+
 /// Maximum number of header lines of a head.
 const MAX_HEADER_LINES: usize = 100;
 
@@ -23,6 +25,19 @@
     pub length: usize,
     /// How the body is framed.
     pub framing: Framing,
+    /// Number of header fields.
+    pub header_fields: usize,
+}
+
+impl RequestHead {
+    /// Returns the size of the request.
+    pub fn size(&self) -> RequestSize {
+        let body_bytes = match self.framing {
+            Framing::Length(length) => Some(length),
+            Framing::Chunked => None,
+        };
+        RequestSize { head_bytes: self.length, header_fields: self.header_fields, body_bytes }
+    }
 }
 
 /// Why a request head cannot be accepted.
@@ -59,7 +74,8 @@
     if framing == Some(Framing::Chunked) && request.version != Some(1) {
         return Err(HeadError::ChunksBeforeHttp11);
     }
-    Ok(Some(RequestHead { length, framing: framing.unwrap_or(Framing::Length(0)) }))
+    let header_fields = request.headers.len();
+    Ok(Some(RequestHead { length, framing: framing.unwrap_or(Framing::Length(0)), header_fields }))
 }
 
 /// Returns how the header lines frame the body; `None` if no line does. Two kinds of framing at once, several lengths and
@@ -81,6 +97,16 @@
     }
 }
 
+/// Returns the value of a header of the complete request head at the start of `bytes`, for the log; `None` if there is none or it
+/// is not text.
+pub fn header_text<'a>(bytes: &'a [u8], name: &str) -> Option<&'a str> {
+    let mut lines = [EMPTY_HEADER; MAX_HEADER_LINES];
+    let mut request = Request::new(&mut lines);
+    request.parse(bytes).ok()?;
+    let header = request.headers.iter().find(|header| header.name.eq_ignore_ascii_case(name))?;
+    std::str::from_utf8(header.value).ok()
+}
+
 /// Parses a `Content-Length`. `u64::from_str` alone would also accept a leading `+`.
 fn parse_length(value: &[u8]) -> Option<u64> {
     if !value.iter().all(u8::is_ascii_digit) {
--- a/crates/proxy/src/downstream/framing/tests.rs
+++ b/crates/proxy/src/downstream/framing/tests.rs
@@ -9,7 +9,8 @@
         ("TRANSFER-ENCODING: Chunked\r\n", Framing::Chunked),
     ] {
         let text = head_with(lines);
-        let expected = RequestHead { length: text.len(), framing };
+        let header_fields = text.lines().filter(|line| line.contains(": ") || line.contains(":0")).count();
+        let expected = RequestHead { length: text.len(), framing, header_fields };
         assert_eq!(parse_request_head(text.as_bytes()), Ok(Some(expected)), "{lines:?}");
     }
     assert_eq!(parse_request_head(b"POST /api HTTP/1.1\r\nContent-Le"), Ok(None));
--- a/crates/proxy/src/downstream/headers.rs
+++ b/crates/proxy/src/downstream/headers.rs
@@ -15,24 +15,20 @@
 /// Hop-by-hop headers for which hyper has no constant. Upstreams send the last two to this proxy.
 const HOP_BY_HOP_NAMES: [&str; 4] = ["keep-alive", "proxy-connection", "srv-load", "srv-declined"];
 
-/// Returns the headers that are forwarded: all except hop-by-hop headers and headers that the `Connection` header
-/// names.
-pub fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
-    let connection_options: Vec<&str> = headers
+/// Removes the headers that are not forwarded: hop-by-hop headers and headers that the `Connection` header names.
+pub fn end_to_end_headers(mut headers: HeaderMap) -> HeaderMap {
+    let options: Vec<HeaderName> = headers
         .get_all(CONNECTION)
         .iter()
         .filter_map(|value| value.to_str().ok())
         .flat_map(|value| value.split(','))
-        .map(str::trim)
+        .filter_map(|option| option.trim().parse().ok())
         .collect();
-    let is_hop_by_hop = |name: &HeaderName| {
-        HOP_BY_HOP.contains(name)
-            || HOP_BY_HOP_NAMES.contains(&name.as_str())
-            || connection_options.iter().any(|option| option.eq_ignore_ascii_case(name.as_str()))
-    };
+    for name in options.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+    for name in HOP_BY_HOP_NAMES {
+        headers.remove(name);
+    }
     headers
-        .iter()
-        .filter(|(name, _)| !is_hop_by_hop(name))
-        .map(|(name, value)| (name.clone(), value.clone()))
-        .collect()
 }
--- a/crates/proxy/src/downstream/linger.rs
+++ b/crates/proxy/src/downstream/linger.rs
@@ -1,6 +1,8 @@
 //! Closes a connection whose client may still be sending.
 
+use std::future::poll_fn;
 use std::io;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use hyper::StatusCode;
@@ -28,20 +30,27 @@
         socket.write_all(error_response(status).as_bytes()).await?;
     }
     socket.shut_down()?;
-    let mut chunk = [0; READ_CHUNK_BYTES];
     let mut discarded_bytes = 0;
     while discarded_bytes < MAX_LINGER_BYTES {
-        match socket.read(&mut chunk).await? {
+        match poll_fn(|cx| poll_discard(&socket, cx)).await? {
             0 => break,
-            read => discarded_bytes += read,
+            discarded => discarded_bytes += discarded,
         }
     }
     Ok(())
 }
 
-/// Returns the complete response to a request that was not passed on to hyper.
-fn error_response(status: StatusCode) -> String {
-    format!("HTTP/1.1 {status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+/// Reads some input and drops it. The buffer lives during the call only, so that a waiting connection takes no memory for it.
+fn poll_discard(socket: &Socket, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+    socket.poll_read(cx, &mut [0; READ_CHUNK_BYTES])
+}
+
+/// Returns the complete response to a request that was not passed on to hyper. A status that refuses the request has a body that
+/// says why.
+pub fn error_response(status: StatusCode) -> String {
+    let body = if status == StatusCode::SERVICE_UNAVAILABLE { "no room" } else { "" };
+    let length = body.len();
+    format!("HTTP/1.1 {status}\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n{body}")
 }
 
 #[cfg(test)]
--- a/crates/proxy/src/downstream/linger/tests.rs
+++ b/crates/proxy/src/downstream/linger/tests.rs
@@ -11,3 +11,10 @@
         assert_eq!(error_response(status), expected);
     }
 }
+
+#[test]
+fn an_error_response_that_refuses_a_request_says_why() {
+    let expected =
+        "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 7\r\n\r\nno room";
+    assert_eq!(error_response(StatusCode::SERVICE_UNAVAILABLE), expected);
+}
--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -23,6 +23,10 @@
 /// If `accept` returns within this time, the connection counts as one that was already queued before the call.
 const QUEUED_ACCEPT_THRESHOLD: Duration = Duration::from_millis(1);
 
+/// Size of the kernel's send buffer of a client connection, in bytes. It takes a complete response of the protocol, also if
+/// the client does not read it.
+const SEND_BUFFER_BYTES: usize = 128 << 10;
+
 /// The source of client connections.
 pub struct Listener {
     /// The listening socket.
@@ -134,7 +138,9 @@
     /// Starts the task that serves a connection.
     fn start_connection(self: &Rc<Self>, socket: TcpStream, accepted_at: Instant, permit: ConnectionPermit) {
         let arrived_at = unread_input_arrived_at(&socket).unwrap_or(accepted_at);
-        let stream = ClientStream::new(Socket::new(socket), arrived_at);
+        let socket = Socket::new(socket);
+        socket.set_send_buffer(SEND_BUFFER_BYTES);
+        let stream = ClientStream::new(socket, arrived_at, self.memory.clone());
         let progress = ConnectionProgress::new(self.evictable_connections.clone(), &stream);
         let task = spawn_local(self.clone().serve_connection(stream, permit, progress.clone()));
         progress.set_task(task.abort_handle());
--- a/crates/proxy/src/downstream/progress.rs
+++ b/crates/proxy/src/downstream/progress.rs
@@ -12,6 +12,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
@@ -25,8 +26,9 @@
 use crate::downstream::progress::response_write::ResponseWrite;
 use crate::downstream::progress::stage_clock::StageClock;
 use crate::downstream::progress::weak_client_stream::WeakClientStream;
+use crate::memory::MemoryCause;
 
-pub use crate::downstream::progress::request_input::ProtocolError;
+pub use crate::downstream::progress::request_input::Rejection;
 
 /// How long a connection may stay open without a request.
 pub const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -40,6 +42,8 @@
     response: ResponseWrite,
     client: WeakClientStream,
     eviction: EvictionEntry,
+    /// Notified when another task rejects the current request.
+    rejected: Notify,
     /// The id of the newest request, for the log; empty before the first request. A copy, because a header value keeps the
     /// memory of the whole head.
     request_name: RefCell<String>,
@@ -65,6 +69,7 @@
             response: ResponseWrite::default(),
             client: WeakClientStream::new(stream),
             eviction: EvictionEntry::new(evictable_connections),
+            rejected: Notify::new(),
             request_name: RefCell::default(),
         })
     }
@@ -105,9 +110,20 @@
         self.enter(ConnectionStage::Body);
     }
 
-    /// Records that the client's input cannot be passed on to hyper.
-    pub fn record_protocol_error(&self, error: ProtocolError) {
-        self.input.record_error(error);
+    /// Records that the current request is not served.
+    pub fn record_rejection(&self, rejection: Rejection) {
+        self.input.record_rejection(rejection);
+    }
+
+    /// Rejects the current request because memory is short, and wakes the connection's task to end the connection.
+    pub fn reject(&self, cause: MemoryCause) {
+        self.record_rejection(Rejection::MemoryShort(cause));
+        self.rejected.notify_one();
+    }
+
+    /// Waits until the connection is rejected from another task.
+    pub async fn wait_for_rejection(&self) {
+        self.rejected.notified().await;
     }
 
     /// Records the last byte of the current request.
@@ -144,8 +160,10 @@
         self.response.is_close_delimited()
     }
 
-    /// Records that the connection closes after the current response. Further input is not read as a request.
+    /// Records that the connection closes after the current response. Further input is not read as a request, and is
+    /// dropped.
     pub fn record_last_response(&self) {
+        self.client.drop_input();
         self.enter(ConnectionStage::Open);
     }
 
@@ -234,9 +252,25 @@
         self.clock.awaits_first_request()
     }
 
-    /// Returns why the connection's last request could not be passed on to hyper; `None` if it could.
-    pub fn protocol_error(&self) -> Option<ProtocolError> {
-        self.input.protocol_error()
+    /// Returns why the connection's last request is not served; `None` if it may be.
+    pub fn rejection(&self) -> Option<Rejection> {
+        self.input.rejection()
+    }
+
+    /// Returns the memory in bytes of the input that was read and not passed on to hyper.
+    pub fn buffered_bytes(&self) -> usize {
+        self.client.buffered_bytes()
+    }
+
+    /// Returns when the newest byte in the read-ahead buffer arrived, or when the connection entered its stage if the buffer
+    /// is empty.
+    pub fn last_input_at(&self) -> Instant {
+        self.client.last_buffered_byte_arrived_at().unwrap_or_else(|| self.clock.entered_at())
+    }
+
+    /// Returns since when the socket has accepted no byte of the response; `None` while it accepts them.
+    pub fn write_blocked_since(&self) -> Option<Instant> {
+        self.response.blocked_since()
     }
 
     /// Returns whether the client may still be sending a part of the current request.
--- a/crates/proxy/src/downstream/progress/request_input.rs
+++ b/crates/proxy/src/downstream/progress/request_input.rs
@@ -3,14 +3,17 @@
 use std::cell::Cell;
 
 use crate::downstream::framing::Framing;
+use crate::memory::MemoryCause;
 
-/// Why a request cannot be passed on to hyper. Its connection is closed after the error response.
+/// Why a request is not served. Its connection is closed after the error response, if one can be sent.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum ProtocolError {
+pub enum Rejection {
     /// The head cannot be parsed, or the end of the body is ambiguous.
     MalformedHead,
     /// The head is longer than the read-ahead buffer.
     HeadTooLarge,
+    /// Memory is short.
+    MemoryShort(MemoryCause),
 }
 
 /// The state of the current request on the receiving side.
@@ -20,7 +23,7 @@
     chunked: Cell<bool>,
     /// Whether bytes of the current request have not been read yet.
     unread: Cell<bool>,
-    protocol_error: Cell<Option<ProtocolError>>,
+    rejection: Cell<Option<Rejection>>,
 }
 
 impl RequestInput {
@@ -35,15 +38,15 @@
         self.unread.set(false);
     }
 
-    /// Records that the request cannot be passed on. The rest of it is never read as a request.
-    pub(super) fn record_error(&self, error: ProtocolError) {
-        self.protocol_error.set(Some(error));
+    /// Records that the request is not served. The rest of it is never read as a request.
+    pub(super) fn record_rejection(&self, rejection: Rejection) {
+        self.rejection.set(Some(rejection));
         self.unread.set(true);
     }
 
-    /// Returns why the request could not be passed on; `None` if it could.
-    pub(super) fn protocol_error(&self) -> Option<ProtocolError> {
-        self.protocol_error.get()
+    /// Returns why the request is not served; `None` if it may be.
+    pub(super) fn rejection(&self) -> Option<Rejection> {
+        self.rejection.get()
     }
 
     /// Returns whether the client may still be sending a part of the request.
--- a/crates/proxy/src/downstream/progress/response_write.rs
+++ b/crates/proxy/src/downstream/progress/response_write.rs
@@ -70,6 +70,11 @@
         self.blocked_since.set(None);
     }
 
+    /// Returns since when the socket has accepted no byte; `None` while it accepts them.
+    pub(super) fn blocked_since(&self) -> Option<Instant> {
+        self.blocked_since.get()
+    }
+
     /// Returns whether the socket currently accepts no more bytes.
     pub(super) fn is_blocked(&self) -> bool {
         self.blocked_since.get().is_some()
--- a/crates/proxy/src/downstream/progress/weak_client_stream.rs
+++ b/crates/proxy/src/downstream/progress/weak_client_stream.rs
@@ -40,6 +40,18 @@
         stream.and_then(|stream| stream.borrow().last_buffered_byte_arrived_at())
     }
 
+    /// Returns the memory in bytes of the input that was read and not passed on; 0 if the stream was dropped.
+    pub(super) fn buffered_bytes(&self) -> usize {
+        self.stream.upgrade().map_or(0, |stream| stream.borrow().buffered_capacity())
+    }
+
+    /// Drops all input from now on; see [`ClientStream::drop_input`].
+    pub(super) fn drop_input(&self) {
+        if let Some(stream) = self.stream.upgrade() {
+            stream.borrow_mut().drop_input();
+        }
+    }
+
     /// Sets whether the connection is reset when its socket is closed; see
     /// [`Socket::set_reset_on_close`](crate::sockets::Socket::set_reset_on_close).
     pub(super) fn set_reset_on_close(&self, reset: bool) {
--- a/crates/proxy/src/downstream/request_validation.rs
+++ b/crates/proxy/src/downstream/request_validation.rs
@@ -15,6 +15,7 @@
 use crate::dispatch::IncomingRequest;
 use crate::downstream::headers::{IDEMPOTENCY_KEY, REQ_ID, end_to_end_headers};
 use crate::downstream::progress::ConnectionProgress;
+use crate::memory::MemoryBudget;
 use crate::request_ids::ClaimError;
 use crate::upstream::body_prefix::{BodyPrefix, read_prefix};
 use crate::upstream::downstream_client::DownstreamClient;
@@ -53,10 +54,6 @@
     /// The request's class has no body.
     const UNEXPECTED_BODY: RequestError = RequestError::bad_request("a body that does not fit the class");
 
-    /// The bodies of the open requests use all of the memory for bodies.
-    pub const NO_BODY_CAPACITY: RequestError =
-        RequestError { status: StatusCode::SERVICE_UNAVAILABLE, message: "no room" };
-
     /// The body was still arriving when the time for a graceful shutdown ended.
     const SHUTTING_DOWN: RequestError =
         RequestError { status: StatusCode::SERVICE_UNAVAILABLE, message: "shutting down" };
@@ -131,6 +128,7 @@
         &self,
         request: Request<Incoming>,
         progress: &Rc<ConnectionProgress>,
+        memory: &MemoryBudget,
     ) -> Result<IncomingRequest<UpstreamRequest>, RequestError> {
         let (head, body) = request.into_parts();
         reject_repeated_headers(&head.headers)?;
@@ -141,8 +139,8 @@
         let tenant = head.headers.get(REQ_OWNER).and_then(|name| self.tenants.get(name.as_bytes()).copied());
         let estimated_work = text_header(&head.headers, REQ_COST).and_then(parse_digits);
         let marked_retry = text_header(&head.headers, REQ_RETRY) == Some("1");
-        let headers = end_to_end_headers(&head.headers);
-        let body = read_body(body, class.idempotency, progress).await?;
+        let headers = end_to_end_headers(head.headers);
+        let body = read_body(body, class.idempotency, progress, memory).await?;
         // The request target may be in absolute form; only its path and query are forwarded.
         let path = head.uri.path_and_query().cloned().ok_or(RequestError::bad_request("no path"))?;
         let body_pending = matches!(body, RequestBody::Streamed(_));
@@ -230,9 +228,10 @@
     body: Incoming,
     idempotency: Idempotency,
     progress: &Rc<ConnectionProgress>,
+    memory: &MemoryBudget,
 ) -> Result<RequestBody, RequestError> {
     let may_have_body = idempotency != Idempotency::Idempotent;
-    match read_prefix(body, None).await {
+    match read_prefix(body, None, memory).await {
         BodyPrefix::Complete(body) if may_have_body || body.is_empty() => Ok(RequestBody::Complete(body)),
         BodyPrefix::More(prefix, rest) if may_have_body => {
             Ok(RequestBody::Streamed(RequestBodyStream::new(prefix, rest, progress.clone())))
--- a/crates/proxy/src/downstream/response_body.rs
+++ b/crates/proxy/src/downstream/response_body.rs
@@ -9,16 +9,12 @@
 use hyper::body::{Body, Frame, SizeHint};
 
 use crate::downstream::ConnectionProgress;
-use crate::limits::Permit;
 use crate::log::limited_log_line;
 use crate::upstream::{ResponseBodyStream, ResponseError};
 
-/// The body of a response, with the memory that is reserved for it.
+/// The body of a response.
 pub struct ResponseBody {
     source: Source,
-    /// The reserved memory, released when hyper drops the body: once it has been written, or when the client's
-    /// connection is closed. `None` for short responses of the proxy itself.
-    pub memory: Option<Permit>,
 }
 
 /// Where the bytes of the body come from.
@@ -32,12 +28,12 @@
 impl ResponseBody {
     /// Creates a body whose bytes are all in memory.
     pub fn complete(body: Bytes) -> ResponseBody {
-        ResponseBody { source: Source::Complete(Full::new(body)), memory: None }
+        ResponseBody { source: Source::Complete(Full::new(body)) }
     }
 
     /// Creates a body that is still arriving from the upstream. Records in `progress` when its last byte was read.
     pub fn streamed(body: Box<ResponseBodyStream>, progress: Rc<ConnectionProgress>) -> ResponseBody {
-        ResponseBody { source: Source::Streamed { body, progress }, memory: None }
+        ResponseBody { source: Source::Streamed { body, progress } }
     }
 
     /// Returns whether the body is read from the upstream while it is written to the client.
--- a/crates/proxy/src/downstream/server.rs
+++ b/crates/proxy/src/downstream/server.rs
@@ -7,11 +7,12 @@
 use crate::dispatch::Dispatcher;
 use crate::dispatch::Transport;
 use crate::downstream::connection_permits::ConnectionPermits;
+use crate::downstream::connection_registry::ConnectionRegistry;
 use crate::downstream::evictable_connections::EvictableConnections;
 use crate::downstream::request_validation::RequestValidator;
 use crate::downstream::shutdown::ShutdownBudget;
 use crate::lifecycle::Lifecycle;
-use crate::limits::ResizableLimit;
+use crate::memory::MemoryBudget;
 use crate::request_ids::RequestIds;
 use crate::upstream::{UpstreamRequest, UpstreamResponse};
 
@@ -20,13 +21,14 @@
 
 impl<T: Transport<Request = UpstreamRequest, Response = UpstreamResponse>> UpstreamTransport for T {}
 
-/// Limits on the resources of all clients together.
-#[derive(Clone, Copy)]
-pub struct ConnectionLimits {
+/// The resources that the server uses together with other parts of the process.
+pub struct ServerResources {
     /// Maximum number of client connections.
     pub connections: usize,
-    /// Maximum total size in bytes of the buffered bodies of open requests and of their responses.
-    pub body_bytes: usize,
+    /// The memory of the process.
+    pub memory: Rc<MemoryBudget>,
+    /// The ids of the requests that are open or must not run again.
+    pub request_ids: Rc<RequestIds>,
 }
 
 /// Serves the clients' connections.
@@ -41,8 +43,10 @@
     pub(super) permits: ConnectionPermits,
     /// The client connections that may be closed to free permits.
     pub(super) evictable_connections: Rc<EvictableConnections>,
-    /// Limit on the bytes of buffered request and response bodies.
-    pub(super) body_memory: Rc<ResizableLimit>,
+    /// The client connections whose memory may be freed.
+    pub(super) connections: Rc<ConnectionRegistry>,
+    /// The memory of the process.
+    pub(super) memory: Rc<MemoryBudget>,
     /// The ids of the requests that are open or must not run again.
     pub(super) request_ids: Rc<RequestIds>,
     /// How the time for a graceful shutdown is divided.
@@ -55,10 +59,10 @@
         dispatcher: Rc<Dispatcher<T>>,
         classes: Vec<(String, policy::Class)>,
         tenants: Vec<String>,
-        limits: ConnectionLimits,
+        resources: ServerResources,
         lifecycle: Rc<Lifecycle>,
-        request_ids: Rc<RequestIds>,
     ) -> Rc<Self> {
+        let ServerResources { connections, memory, request_ids } = resources;
         let longest_deadline = classes.iter().map(|(_, class)| class.deadline).max().unwrap_or(0);
         let shutdown = ShutdownBudget::new(longest_deadline);
         let evictable_connections = Rc::<EvictableConnections>::default();
@@ -66,18 +70,17 @@
             dispatcher,
             lifecycle,
             validator: RequestValidator::new(classes, tenants),
-            permits: ConnectionPermits::new(limits.connections, evictable_connections.clone()),
+            permits: ConnectionPermits::new(connections, evictable_connections.clone()),
             evictable_connections,
-            body_memory: ResizableLimit::new(limits.body_bytes),
+            connections: Rc::default(),
+            memory,
             request_ids,
             shutdown,
         })
     }
 
-    /// Changes the limits. Idle connections in excess are closed now; other resources in excess are released as their
-    /// requests end.
-    pub fn resize(&self, limits: &ConnectionLimits) {
-        self.body_memory.resize(limits.body_bytes);
-        self.permits.resize(limits.connections);
+    /// Changes the maximum number of connections. Idle connections in excess are closed now.
+    pub fn resize(&self, connections: usize) {
+        self.permits.resize(connections);
     }
 }
--- a/crates/proxy/src/downstream/service.rs
+++ b/crates/proxy/src/downstream/service.rs
@@ -22,10 +22,8 @@
 use crate::downstream::responses::{failed, plain_text, rejected, request_error};
 use crate::downstream::server::{Server, UpstreamTransport};
 use crate::lifecycle::Phase;
-use crate::limits::Permit;
 use crate::log::limited_log_line;
 use crate::request_ids::RequestIdClaim;
-use crate::upstream::body_prefix::MAX_BUFFERED_BODY_BYTES;
 use crate::upstream::request_body_stream::RequestBodyStream;
 use crate::upstream::{RequestBody, UpstreamBody, UpstreamRequest, UpstreamResponse, log_name};
 
@@ -123,8 +121,7 @@
         request: Request<Incoming>,
         progress: &Rc<ConnectionProgress>,
     ) -> Result<Response<ResponseBody>, RequestError> {
-        let body_memory = self.acquire_body_memory(&request)?;
-        let mut incoming = self.validator.read(request, progress).await?;
+        let mut incoming = self.validator.read(request, progress, &self.memory).await?;
         incoming.time_left = incoming.time_left.min(self.phase_time_limit());
         incoming.request.id_claim = Some(self.claim_id(&incoming)?);
         let upload = match &incoming.request.body {
@@ -144,7 +141,7 @@
             None => pending.final_response().await,
             Some(upload) => self.respond_to_upload(pending, upload, progress).await?,
         };
-        Ok(client_response(response, body_memory, progress))
+        Ok(client_response(response, progress))
     }
 
     /// Claims the id of a request until its last attempt has ended, and for longer if it may have run and must not run
@@ -159,18 +156,6 @@
         self.request_ids.claim(id.as_bytes(), repeatable).map_err(RequestError::unclaimed_id)
     }
 
-    /// Reserves memory for the buffered parts of the request body and of the response body, before any of the request
-    /// body is read.
-    ///
-    /// # Errors
-    ///
-    /// A 503 error if the bodies of the open requests leave too little memory for this one.
-    fn acquire_body_memory(&self, request: &Request<Incoming>) -> Result<Permit, RequestError> {
-        let length = request.body().size_hint().exact().unwrap_or(u64::MAX);
-        let buffered = length.min(MAX_BUFFERED_BODY_BYTES as u64) as usize;
-        self.body_memory.try_acquire(buffered + MAX_BUFFERED_BODY_BYTES).ok_or(RequestError::NO_BODY_CAPACITY)
-    }
-
     /// Waits for the final response to a request whose body is still arriving.
     ///
     /// # Errors
@@ -214,25 +199,22 @@
     }
 }
 
-/// Builds the response to the client. The body owns `body_memory` and releases it once the body has been written or
-/// the client has disconnected.
+/// Builds the response to the client.
 fn client_response(
     response: FinalResponse<UpstreamResponse>,
-    body_memory: Permit,
     progress: &Rc<ConnectionProgress>,
 ) -> Response<ResponseBody> {
     match response {
         FinalResponse::Forwarded { response: upstream, time_left } => {
-            let mut body = match upstream.body {
+            let body = match upstream.body {
                 UpstreamBody::Complete(body) => ResponseBody::complete(body),
                 UpstreamBody::Streamed(mut streamed) => {
                     streamed.set_time_left(Duration::from_micros(time_left));
                     ResponseBody::streamed(streamed, progress.clone())
                 }
             };
-            body.memory = Some(body_memory);
             let mut response = Response::new(body);
-            *response.headers_mut() = end_to_end_headers(&upstream.headers);
+            *response.headers_mut() = end_to_end_headers(upstream.headers);
             response
         }
         FinalResponse::Rejected { retry_after } => rejected(retry_after),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod lifecycle;
 mod limits;
 mod log;
+mod memory;
 mod process;
 mod request_ids;
 mod sockets;
--- /dev/null
+++ b/crates/proxy/src/memory/budget/tests.rs
@@ -0,0 +1,54 @@
+use super::*;
+
+const MIB: usize = 1 << 20;
+const SMALL: RequestSize = RequestSize { head_bytes: 250, header_fields: 7, body_bytes: Some(0) };
+const LARGE: RequestSize = RequestSize { head_bytes: 600, header_fields: 90, body_bytes: Some(0) };
+
+fn budget() -> Rc<MemoryBudget> {
+    // 10 MiB of heap, of which 1 MiB is in use.
+    MemoryBudget::with_program(16 * MIB, 7 * MIB / 2, || MIB)
+}
+
+#[tokio::test(start_paused = true)]
+async fn large_requests_are_refused_before_small_ones_and_for_other_causes() {
+    let budget = budget();
+    let mut charges = Vec::new();
+    while let Ok(charge) = budget.admit(LARGE) {
+        charges.push(charge);
+    }
+    let large_count = charges.len();
+    assert_eq!(budget.admit(LARGE).err(), Some(MemoryCause::LargeRequest));
+    while let Ok(charge) = budget.admit(SMALL) {
+        charges.push(charge);
+    }
+    assert!(
+        large_count > 0 && charges.len() >= large_count + RESERVE_AT_ONCE,
+        "{large_count} of {}",
+        charges.len()
+    );
+    assert_eq!(budget.admit(SMALL).err(), Some(MemoryCause::NewRequest));
+    // The rest of the reserve becomes available with time.
+    let at_once = charges.len();
+    tokio::time::advance(RESERVE_TIME).await;
+    while let Ok(charge) = budget.admit(SMALL) {
+        charges.push(charge);
+    }
+    assert!(charges.len() > at_once + 2 * RESERVE_AT_ONCE, "{at_once} and then {}", charges.len());
+    assert!(budget.used_bytes() <= budget.heap_limit());
+    drop(charges);
+    assert!(budget.admit(LARGE).is_ok(), "the charges are released");
+}
+
+#[test]
+fn a_request_with_a_body_that_is_long_or_not_declared_is_large() {
+    assert!(SMALL.is_small());
+    assert!(!RequestSize { body_bytes: None, ..SMALL }.is_small());
+    assert!(!RequestSize { body_bytes: Some(32 << 20), ..SMALL }.is_small());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_process_that_needs_its_share_for_itself_still_admits_small_requests() {
+    let budget = MemoryBudget::with_program(8 * MIB, 4 * MIB, || 6 * MIB);
+    let charges: Vec<_> = std::iter::from_fn(|| budget.admit(SMALL).ok()).collect();
+    assert!(charges.len() >= 20, "{} requests", charges.len());
+}
--- a/crates/proxy/src/process/core.rs
+++ b/crates/proxy/src/process/core.rs
@@ -14,12 +14,16 @@
 use crate::dispatch::Dispatcher;
 use crate::lifecycle::hot_restart::SavedState;
 use crate::lifecycle::overrides::OverrideStore;
+use crate::memory::MemoryBudget;
 use crate::process::error::StartError;
+use crate::process::resource_limits::ResourceLimits;
 use crate::process::transport::SocketTransport;
 use crate::upstream::Upstreams;
 
 /// The dispatcher with the connections that it uses. The tasks of the process share one core.
 pub struct Core {
+    /// The memory of the process.
+    pub memory: Rc<MemoryBudget>,
     /// The connections to upstreams.
     pub upstreams: Rc<Upstreams>,
     /// The client of discovery.
@@ -32,7 +36,7 @@
 
 impl Core {
     /// Builds the core from the configuration and the policy's settings. `zones` holds the zone ids that the settings
-    /// use; `upstream_connections` is the maximum number of connections to upstreams of this process.
+    /// use; `limits` are the resources of this process.
     ///
     /// # Errors
     /// The policy rejects the settings.
@@ -40,10 +44,12 @@
         config: &Config,
         settings: policy::Settings,
         zones: &Names,
-        upstream_connections: usize,
+        limits: &ResourceLimits,
         overrides: Rc<OverrideStore>,
     ) -> Result<Rc<Core>, StartError> {
-        let upstreams = Rc::new(Upstreams::new(&settings.limits, upstream_connections));
+        let memory = MemoryBudget::new(limits.memory_bytes);
+        let upstreams =
+            Rc::new(Upstreams::new(&settings.limits, limits.upstream_connections, memory.clone()));
         spawn_local(upstreams.close_expired());
         let expects_push = settings.discovery == policy::DiscoveryMode::Push;
         let drain_grace = Duration::from_micros(settings.rules.drain_grace);
@@ -51,7 +57,7 @@
         let discovery = Discovery::new(config.discovery_address, generation, expects_push, drain_grace);
         let transport = SocketTransport { upstreams: upstreams.clone(), discovery: discovery.clone() };
         let dispatcher = Dispatcher::new(settings, zones, config.seed, overrides, transport)?;
-        Ok(Rc::new(Core { upstreams, discovery, dispatcher, expects_push }))
+        Ok(Rc::new(Core { memory, upstreams, discovery, dispatcher, expects_push }))
     }
 
     /// Applies the cached endpoint list, restores the predecessor's learned state, and starts the dispatcher.
--- a/crates/proxy/src/process/mod.rs
+++ b/crates/proxy/src/process/mod.rs
@@ -4,6 +4,7 @@
 mod core;
 mod error;
 mod listeners;
+mod memory_task;
 mod reload;
 mod resource_limits;
 mod save_task;
--- a/crates/proxy/src/process/resource_limits.rs
+++ b/crates/proxy/src/process/resource_limits.rs
@@ -2,7 +2,7 @@
 //! and upstreams.
 
 use crate::config::Config;
-use crate::downstream::ConnectionLimits;
+use crate::memory::process_share;
 
 /// Number of descriptors that are reserved for purposes other than connections to clients and upstreams: the runtime, the
 /// listeners, discovery, the files in `TMPDIR`, admin connections and the standard streams.
@@ -11,9 +11,6 @@
 const MIN_CONNECTION_DESCRIPTORS: usize = 2;
 /// Share of the connection descriptors that client connections may use. Upstream connections use the rest.
 const CLIENT_DESCRIPTOR_SHARE: f64 = 0.55;
-/// Share of the memory that the bodies of active requests and of their responses may use. The rest is for the program and
-/// for the buffers and heads of each connection: with 32 MB and 256 descriptors, these take 2 MB and 5 MB respectively.
-const BODY_MEMORY_SHARE: f64 = 0.4;
 
 /// The resources that all processes of this balancer together may use.
 #[derive(Clone, Copy)]
@@ -28,8 +25,10 @@
 pub struct ResourceLimits {
     /// Maximum number of connections to upstreams.
     pub upstream_connections: usize,
-    /// The limits of the clients' connections and bodies.
-    pub client: ConnectionLimits,
+    /// Maximum number of connections of clients.
+    pub client_connections: usize,
+    /// Memory in bytes.
+    pub memory_bytes: usize,
 }
 
 impl ResourceBudget {
@@ -47,10 +46,10 @@
             .saturating_sub(RESERVED_DESCRIPTORS)
             .max(MIN_CONNECTION_DESCRIPTORS);
         let client_connections = ((connections as f64 * CLIENT_DESCRIPTOR_SHARE) as usize).max(1);
-        let body_bytes = (self.memory_bytes as f64 * BODY_MEMORY_SHARE) as usize / processes;
         ResourceLimits {
             upstream_connections: connections - client_connections,
-            client: ConnectionLimits { connections: client_connections, body_bytes },
+            client_connections,
+            memory_bytes: process_share(self.memory_bytes, processes),
         }
     }
 }
--- a/crates/proxy/src/process/shared_state_task.rs
+++ b/crates/proxy/src/process/shared_state_task.rs
@@ -107,8 +107,9 @@
              and memory"
         );
         let limits = self.budget.limits_per_process(processes);
+        self.core.memory.resize(limits.memory_bytes);
         self.core.upstreams.resize(limits.upstream_connections);
-        self.server.resize(&limits.client);
+        self.server.resize(limits.client_connections);
         self.lifecycle.set_other_process_running(self.process_count.others_running());
         self.request_ids.set_others_running(self.process_count.others_running());
     }
--- a/crates/proxy/src/process/startup.rs
+++ b/crates/proxy/src/process/startup.rs
@@ -10,13 +10,14 @@
 
 use crate::admin::AdminServer;
 use crate::config::Config;
-use crate::downstream::{Listener, Server};
+use crate::downstream::{Listener, Server, ServerResources};
 use crate::lifecycle::Lifecycle;
 use crate::log::log_line;
 use crate::process::core::Core;
 use crate::process::environment_variable;
 use crate::process::error::StartError;
 use crate::process::listeners::{admin_listener, client_listener, local_address};
+use crate::process::memory_task::watch_memory;
 use crate::process::reload::Reload;
 use crate::process::resource_limits::{ResourceBudget, ResourceLimits};
 use crate::process::save_task::SaveTask;
@@ -48,10 +49,12 @@
 
     signals.shutdown.spawn_task(lifecycle.clone());
     startup.spawn_save_task(&core, &lifecycle);
+    spawn_local(watch_memory(core.clone()));
     let request_ids = startup.request_ids();
     let server = startup.client_server(&core, &lifecycle, &request_ids);
     let shared = startup.state.shares_listener();
     lifecycle.set_other_process_running(startup.process_count.others_running());
+    spawn_local(server.clone().shed_when_memory_is_short(core.upstreams.clone()));
     startup.spawn_shared_state_task(core, &lifecycle, &server, request_ids);
     server.serve(Listener { socket: listener, shared }).await;
     Ok(())
@@ -98,8 +101,7 @@
     fn start_core(&mut self) -> Result<Rc<Core>, StartError> {
         let settings = self.settings.clone();
         let overrides = self.state.overrides().clone();
-        let connections = self.limits.upstream_connections;
-        let core = Core::new(&self.config, settings, &self.zones, connections, overrides)?;
+        let core = Core::new(&self.config, settings, &self.zones, &self.limits, overrides)?;
         core.start(self.config.cached_list.take(), self.state.hot_restart_folder());
         Ok(core)
     }
@@ -132,8 +134,12 @@
         // The policy's settings list the classes in the order of the setup.
         let classes = class_names.zip(self.settings.classes.iter().cloned()).collect();
         let tenants = setup.tenants.iter().map(|tenant| tenant.name.clone()).collect();
-        let dispatcher = core.dispatcher.clone();
-        Server::new(dispatcher, classes, tenants, self.limits.client, lifecycle.clone(), request_ids.clone())
+        let resources = ServerResources {
+            connections: self.limits.client_connections,
+            memory: core.memory.clone(),
+            request_ids: request_ids.clone(),
+        };
+        Server::new(core.dispatcher.clone(), classes, tenants, resources, lifecycle.clone())
     }
 
     /// Returns the ids of the requests. They are shared with the other processes that accept from the same listener.
--- a/crates/proxy/src/sockets/mod.rs
+++ b/crates/proxy/src/sockets/mod.rs
@@ -4,15 +4,15 @@
 
 mod accept;
 mod connect;
-mod last_data;
 mod resources;
 mod socket;
+mod tcp_info;
 
 pub use accept::{accept, accept_queued};
 pub use connect::connect;
-pub use last_data::time_since_last_data;
 pub use resources::is_out_of_resources;
 pub use socket::{Socket, has_unread_bytes};
+pub use tcp_info::time_since_last_data;
 
 #[cfg(test)]
 mod tests;
--- a/crates/proxy/src/sockets/socket.rs
+++ b/crates/proxy/src/sockets/socket.rs
@@ -13,6 +13,8 @@
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 
+use crate::sockets::tcp_info::peer_has_closed;
+
 /// Maximum number of bytes that one call reads for hyper.
 const READ_CHUNK_BYTES: usize = 8 * 1024;
 /// Maximum number of times that a call interrupted by a signal is repeated before the error is returned. The limit
@@ -80,6 +82,11 @@
         }
     }
 
+    /// Writes as much of `bytes` as the kernel accepts now. Errors are ignored: the peer then misses the rest.
+    pub fn write_now(&self, bytes: &[u8]) {
+        let _ = unless_blocked(|| SockRef::from(&self.stream).send(bytes));
+    }
+
     /// Shuts down the sending direction. Succeeds if the connection has already ended.
     ///
     /// # Errors
@@ -112,15 +119,6 @@
         Ok(())
     }
 
-    /// Reads into `buffer`, and returns the number of bytes, 0 at the end of input.
-    ///
-    /// # Errors
-    ///
-    /// The error of the operating system.
-    pub async fn read(&self, buffer: &mut [u8]) -> io::Result<usize> {
-        poll_fn(|cx| self.poll_read(cx, buffer)).await
-    }
-
     /// Reads from the kernel into `buffer`, whether or not the runtime has polled the socket. Returns the number of
     /// bytes, 0 at the end of input, or `None` if there is nothing to read.
     pub fn read_now(&self, buffer: &mut [u8]) -> Option<io::Result<usize>> {
@@ -138,6 +136,32 @@
         has_unread_bytes(&self.stream)
     }
 
+    /// Becomes ready once the peer has closed its sending direction, whether or not its bytes were read. The socket counts as
+    /// empty afterwards, although it may have unread bytes: the next read must be [`read_now`](Self::read_now).
+    pub fn poll_peer_closed(&self, cx: &mut Context<'_>) -> Poll<()> {
+        while self.stream.poll_read_ready(cx).is_ready() {
+            if self.has_peer_closed() {
+                return Poll::Ready(());
+            }
+            // Clears the readiness, so that the runtime waits for the next event.
+            let cleared: io::Result<()> =
+                self.stream.try_io(Interest::READABLE, || Err(io::ErrorKind::WouldBlock.into()));
+            debug_assert!(cleared.is_err(), "the operation reports an empty socket");
+        }
+        Poll::Pending
+    }
+
+    /// Returns whether the peer has closed its sending direction or reset the connection. Unread bytes may precede the end.
+    pub fn has_peer_closed(&self) -> bool {
+        self.is_read_closed() || peer_has_closed(&self.stream)
+    }
+
+    /// Sets the size of the kernel's send buffer.
+    pub fn set_send_buffer(&self, bytes: usize) {
+        // The error is ignored: the socket then keeps its size.
+        let _ = SockRef::from(&self.stream).set_send_buffer_size(bytes);
+    }
+
     /// Returns whether the runtime has been notified of the end of input. Unread bytes may precede it.
     pub fn is_read_closed(&self) -> bool {
         let readiness = pin!(self.stream.ready(Interest::READABLE));
--- a/crates/proxy/src/sockets/last_data.rs
+++ b/crates/proxy/src/sockets/tcp_info.rs
@@ -1,13 +1,30 @@
-//! When a connection last received data, according to the kernel.
+//! What the kernel tells of a connection, which no other library does.
 
 use std::mem::size_of;
 use std::os::fd::{AsFd, AsRawFd};
 use std::time::Duration;
 
+/// The kernel's number of the state of a connection whose both directions are open.
+const TCP_ESTABLISHED: u8 = 1;
+
 /// Returns how long ago the newest data arrived on a TCP connection, or how long ago the connection was established if none has.
 /// Returns `None` if the system does not tell. A connection may have waited in the accept queue with a complete request, and the
 /// time of that request counts from its last byte.
 pub fn time_since_last_data(socket: &impl AsFd) -> Option<Duration> {
+    let (info, length) = tcp_info(socket)?;
+    // Other systems may fill in fewer fields.
+    let has_field = length >= std::mem::offset_of!(libc::tcp_info, tcpi_last_ack_recv);
+    has_field.then(|| Duration::from_millis(u64::from(info.tcpi_last_data_recv)))
+}
+
+/// Returns whether the peer has closed its sending direction or reset the connection, while this side has closed neither. False
+/// if the system does not tell.
+pub fn peer_has_closed(socket: &impl AsFd) -> bool {
+    tcp_info(socket).is_some_and(|(info, length)| length > 0 && info.tcpi_state != TCP_ESTABLISHED)
+}
+
+/// Returns the kernel's information on a connection, and how many bytes of it are filled in.
+fn tcp_info(socket: &impl AsFd) -> Option<(libc::tcp_info, usize)> {
     let descriptor = socket.as_fd().as_raw_fd();
     // SAFETY: all fields of the structure are numbers, which may be zero.
     #[allow(unsafe_code)]
@@ -19,7 +36,5 @@
         let target = (&raw mut info).cast();
         libc::getsockopt(descriptor, libc::IPPROTO_TCP, libc::TCP_INFO, target, &raw mut length)
     };
-    // Other systems may fill in fewer fields.
-    let has_field = length as usize >= std::mem::offset_of!(libc::tcp_info, tcpi_last_ack_recv);
-    (result == 0 && has_field).then(|| Duration::from_millis(u64::from(info.tcpi_last_data_recv)))
+    (result == 0).then_some((info, length as usize))
 }
--- a/crates/proxy/src/upstream/connection_lease.rs
+++ b/crates/proxy/src/upstream/connection_lease.rs
@@ -5,6 +5,7 @@
 use tokio::task::spawn_local;
 use zincstand_policy::ServerId;
 
+use crate::memory::MemoryBudget;
 use crate::upstream::pool::ConnectionPool;
 use crate::upstream::upstream_connection::UpstreamConnection;
 
@@ -25,6 +26,11 @@
         ConnectionLease { pool, server, connection }
     }
 
+    /// Returns the memory of the process.
+    pub fn memory(&self) -> &MemoryBudget {
+        self.pool.memory()
+    }
+
     /// Returns the connection without putting it back into the pool.
     pub fn into_connection(self) -> UpstreamConnection {
         self.connection
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -23,11 +23,12 @@
 
 use crate::discovery::endpoint::Target;
 use crate::dispatch::{AttemptCompletion, BeginCheck, HealthCheckResult};
+use crate::memory::MemoryBudget;
 use crate::upstream::attempt::{AttemptProgress, exchange};
 use crate::upstream::pool::ConnectionPool;
 
 pub use crate::upstream::attempt::Attempt;
-pub use crate::upstream::request::{RequestBody, UpstreamRequest, log_name};
+pub use crate::upstream::request::{RequestBody, UpstreamRequest, log_name, shorten_log_name};
 pub use crate::upstream::response::{UpstreamBody, UpstreamResponse};
 pub use crate::upstream::response_body_stream::{ResponseBodyStream, ResponseError};
 
@@ -40,9 +41,14 @@
 }
 
 impl Upstreams {
-    /// Creates an empty pool that opens at most `max_connections` connections.
-    pub fn new(limits: &policy::Limits, max_connections: usize) -> Upstreams {
-        Upstreams { pool: Rc::new(ConnectionPool::new(limits, max_connections)) }
+    /// Creates an empty pool that opens at most `max_connections` connections, whose responses are buffered within `memory`.
+    pub fn new(limits: &policy::Limits, max_connections: usize, memory: Rc<MemoryBudget>) -> Upstreams {
+        Upstreams { pool: Rc::new(ConnectionPool::new(limits, max_connections, memory)) }
+    }
+
+    /// Closes all idle connections, and returns how many there were.
+    pub fn close_all_idle(&self) -> usize {
+        self.pool.close_all_idle()
     }
 
     /// Changes the limit on open connections. Idle connections above the new limit are closed.
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -14,6 +14,7 @@
 
 use crate::discovery::endpoint::Target;
 use crate::log::limited_log_line;
+use crate::memory::{MemoryBudget, MemoryCause, MemoryLevel};
 use crate::sockets::{self, is_out_of_resources};
 use crate::upstream::upstream_connection::{ConnectionSlot, UpstreamConnection};
 
@@ -77,6 +78,8 @@
     /// Number of open connections, whether idle or in use. Each [`ConnectionSlot`] counts as one.
     open_connections: Rc<Cell<usize>>,
     max_connections: Cell<usize>,
+    /// The memory of the process.
+    memory: Rc<MemoryBudget>,
     idle_timeout: Duration,
     connect_timeout: Duration,
     /// Notified when a connection becomes idle. [`close_expired`](Self::close_expired) waits for this while no
@@ -86,12 +89,13 @@
 
 impl ConnectionPool {
     /// Creates an empty pool that opens at most `max_connections` connections.
-    pub fn new(limits: &policy::Limits, max_connections: usize) -> ConnectionPool {
+    pub fn new(limits: &policy::Limits, max_connections: usize, memory: Rc<MemoryBudget>) -> ConnectionPool {
         let idle_timeout = (limits.idle_timeout as f64 * IDLE_TIMEOUT_FRACTION) as Micros;
         ConnectionPool {
             idle: RefCell::default(),
             open_connections: Rc::default(),
             max_connections: Cell::new(max_connections),
+            memory,
             idle_timeout: duration_or(idle_timeout, DEFAULT_IDLE_TIMEOUT),
             connect_timeout: duration_or(limits.connect_timeout, DEFAULT_CONNECT_TIMEOUT),
             connection_added: Notify::new(),
@@ -104,6 +108,16 @@
         self.open_connections.get()
     }
 
+    /// Returns the memory of the process.
+    pub fn memory(&self) -> &MemoryBudget {
+        &self.memory
+    }
+
+    /// Closes all idle connections, and returns how many there were.
+    pub fn close_all_idle(&self) -> usize {
+        self.idle.take().values().map(Vec::len).sum()
+    }
+
     /// Closes the idle connections to an upstream.
     pub fn close_idle(&self, server: ServerId) {
         self.idle.borrow_mut().remove(&server);
@@ -158,11 +172,15 @@
     }
 
     /// Puts a connection back for the next request to this upstream, or closes it if the limit on open connections
-    /// is exceeded.
+    /// is exceeded or memory is short.
     pub fn put(&self, server: ServerId, connection: UpstreamConnection) {
         if self.open_connections.get() > self.max_connections.get() {
             return;
         }
+        if self.memory.level() != MemoryLevel::Normal {
+            self.memory.counts().add(MemoryCause::IdleUpstream, 1);
+            return;
+        }
         let entry = IdleConnection { connection, idle_since: Instant::now() };
         self.idle.borrow_mut().entry(server).or_default().push(entry);
         self.connection_added.notify_one();
--- a/crates/proxy/src/upstream/request.rs
+++ b/crates/proxy/src/upstream/request.rs
@@ -48,7 +48,11 @@
 /// Returns the id of a request for the log: the beginning of a long one, and `-` if there is none or one that is not visible
 /// ASCII.
 pub fn log_name(id: Option<&HeaderValue>) -> &str {
-    let name = id.and_then(|id| id.to_str().ok()).unwrap_or("-");
+    shorten_log_name(id.and_then(|id| id.to_str().ok()).unwrap_or("-"))
+}
+
+/// Returns the beginning of a request id, as the log shows it.
+pub fn shorten_log_name(name: &str) -> &str {
     name.get(..MAX_LOG_NAME_BYTES).unwrap_or(name)
 }
 
--- a/crates/proxy/src/upstream/response.rs
+++ b/crates/proxy/src/upstream/response.rs
@@ -68,7 +68,7 @@
 }
 
 async fn read_success(headers: HeaderMap, body: Incoming, lease: ConnectionLease) -> ExchangeResult {
-    match read_response_prefix(body).await {
+    match read_response_prefix(body, lease.memory()).await {
         BodyPrefix::Complete(body) => ExchangeResult {
             response: Some(UpstreamResponse { headers, body: UpstreamBody::Complete(body) }),
             connection: Some(lease.into_connection()),
@@ -84,8 +84,7 @@
 }
 
 async fn read_failure(head: &Parts, body: Incoming, lease: ConnectionLease) -> ExchangeResult {
-    let is_complete = Limited::new(body, MAX_BUFFERED_BODY_BYTES).collect().await.is_ok();
-    if !is_complete {
+    if !is_read_to_end(body).await {
         // An incomplete response does not count as a rejection, even if its head marks the request as rejected.
         return Outcome::Reset.into();
     }
@@ -98,6 +97,17 @@
     ExchangeResult { connection: Some(lease.into_connection()), ..outcome.into() }
 }
 
+/// Reads a body that is not forwarded, and returns whether it is complete and not too long.
+async fn is_read_to_end(body: Incoming) -> bool {
+    let mut body = Limited::new(body, MAX_BUFFERED_BODY_BYTES);
+    while let Some(frame) = body.frame().await {
+        if frame.is_err() {
+            return false;
+        }
+    }
+    true
+}
+
 fn is_marked_rejected(head: &Parts) -> bool {
     head.headers.get(REJECTED_HEADER).is_some_and(|value| value == "1")
 }
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -18,6 +18,11 @@
 use crate::upstream::pool::ConnectError;
 use crate::upstream::response::parse_load_report;
 
+/// Returns a memory budget that no test exceeds.
+fn unlimited_memory() -> Rc<MemoryBudget> {
+    MemoryBudget::new(1 << 30)
+}
+
 /// Reads the head of one request and responds with 200.
 async fn respond_to_one_request(stream: &mut TcpStream) {
     let mut received = Vec::new();
@@ -42,7 +47,7 @@
             address: listener.local_addr().expect("the listener has an address"),
             started: None,
         };
-        test(Upstreams::new(&settings.limits, max_connections), listener, target).await;
+        test(Upstreams::new(&settings.limits, max_connections, unlimited_memory()), listener, target).await;
     });
 }
 
@@ -129,7 +134,7 @@
 fn a_connection_idle_for_long_enough_is_taken_before_a_more_recently_used_one() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
     LocalSet::new().block_on(&runtime.expect("the runtime starts"), async {
-        let pool = ConnectionPool::new(&policy::Settings::new(Vec::new()).limits, 9);
+        let pool = ConnectionPool::new(&policy::Settings::new(Vec::new()).limits, 9, unlimited_memory());
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
         let target = Target {
             server: 0,
@@ -209,7 +214,7 @@
         .await
         .expect("the client connects");
     let accepted = listener.accept().await.expect("a connection arrives").0;
-    let stream = ClientStream::new(Socket::new(accepted), tokio::time::Instant::now());
+    let stream = ClientStream::new(Socket::new(accepted), tokio::time::Instant::now(), unlimited_memory());
     let connection = ConnectionProgress::new(Rc::default(), &stream);
     connection.record_request_complete();
     let client: Weak<dyn DownstreamClient> = Rc::<ConnectionProgress>::downgrade(&connection);
--- a/crates/proxy/tests/common/peer.rs
+++ b/crates/proxy/tests/common/peer.rs
@@ -39,6 +39,11 @@
         self.connections.recv_timeout(EVENT_TIMEOUT).expect("a connection arrives")
     }
 
+    /// Returns a connection that was established and that the test has not accepted; `None` if there is none.
+    pub fn try_accept(&self) -> Option<TcpStream> {
+        self.connections.try_recv().ok()
+    }
+
     /// Returns the channel that delivers all further connections.
     pub fn into_connections(self) -> Receiver<TcpStream> {
         self.connections
