Count the heap without atomic operations, and read an empty socket without a buffer

Processor time per request must not grow with the memory budget. Cause, by instruction counts of a closed loop of one client: the crate cap updates its count in a compare-and-swap loop at each allocation, hop-by-hop headers were looked up by eleven names, and each poll of an empty socket cleared a buffer of 4 KiB first.

The serving thread now counts its allocations with a plain load and store, all other threads share a second count. Headers are removed only where a message has them. A socket that the runtime knows to be empty is not read.

--- a/crates/proxy/src/downstream/client_stream.rs
+++ b/crates/proxy/src/downstream/client_stream.rs
@@ -83,6 +83,10 @@
         if self.ended {
             return Poll::Ready(Ok(0));
         }
+        if !self.paused && self.socket.poll_readable(cx).is_pending() {
+            self.unread_since = None;
+            return Poll::Pending;
+        }
         let mut chunk = [0; READ_CHUNK_BYTES];
         let Poll::Ready(result) = self.poll_read(cx, &mut chunk[..limit.min(READ_CHUNK_BYTES)]) else {
             self.unread_since = None;
--- a/crates/proxy/src/downstream/headers.rs
+++ b/crates/proxy/src/downstream/headers.rs
@@ -17,17 +17,20 @@
 
 /// Removes the headers that are not forwarded: hop-by-hop headers and headers that the `Connection` header names.
 pub fn end_to_end_headers(mut headers: HeaderMap) -> HeaderMap {
-    let options: Vec<HeaderName> = headers
+    let connection_options: Vec<&str> = headers
         .get_all(CONNECTION)
         .iter()
         .filter_map(|value| value.to_str().ok())
         .flat_map(|value| value.split(','))
-        .filter_map(|option| option.trim().parse().ok())
+        .map(str::trim)
         .collect();
-    for name in options.iter().chain(&HOP_BY_HOP) {
-        headers.remove(name);
-    }
-    for name in HOP_BY_HOP_NAMES {
+    let is_hop_by_hop = |name: &HeaderName| {
+        HOP_BY_HOP.contains(name)
+            || HOP_BY_HOP_NAMES.contains(&name.as_str())
+            || connection_options.iter().any(|option| option.eq_ignore_ascii_case(name.as_str()))
+    };
+    let removed: Vec<HeaderName> = headers.keys().filter(|name| is_hop_by_hop(name)).cloned().collect();
+    for name in &removed {
         headers.remove(name);
     }
     headers
--- a/crates/proxy/src/memory/budget.rs
+++ b/crates/proxy/src/memory/budget.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use crate::memory::causes::{MemoryCause, MemoryCounts};
+use crate::memory::counting_allocator::live_bytes;
 use crate::memory::heap::{self, HeapReading};
 
 /// Share of the heap's resident bytes that are in use; the rest is lost to the allocator's bookkeeping and to gaps.
@@ -104,7 +105,7 @@
     pub fn new(process_bytes: usize) -> Rc<MemoryBudget> {
         let reading = HeapReading::now();
         let resident = reading.resident_bytes.map(|bytes| bytes.saturating_sub(reading.live_bytes));
-        MemoryBudget::with_program(process_bytes, resident.unwrap_or(DEFAULT_PROGRAM_BYTES), heap::live_bytes)
+        MemoryBudget::with_program(process_bytes, resident.unwrap_or(DEFAULT_PROGRAM_BYTES), live_bytes)
     }
 
     fn with_program(
--- a/crates/proxy/src/memory/heap.rs
+++ b/crates/proxy/src/memory/heap.rs
@@ -1,12 +1,6 @@
-//! The heap of the process: an allocator that counts the bytes in use, and the return of free pages to the kernel.
+//! The heap of the process: how many bytes are in use, and the return of free pages to the kernel.
 
-use std::alloc::System;
-
-use cap::Cap;
-
-/// The allocator of the process. It counts the bytes in use and sets no limit by itself.
-#[global_allocator]
-static ALLOCATOR: Cap<System> = Cap::new(System, usize::MAX);
+use crate::memory::counting_allocator::live_bytes;
 
 /// File with the number of resident pages of this process as its second field.
 const RESIDENT_PAGES_FILE: &str = "/proc/self/statm";
@@ -29,11 +23,6 @@
     }
 }
 
-/// Returns how many bytes of the heap are in use, in all threads.
-pub(super) fn live_bytes() -> usize {
-    ALLOCATOR.allocated()
-}
-
 fn resident_bytes() -> Option<usize> {
     let pages = std::fs::read_to_string(RESIDENT_PAGES_FILE).ok()?;
     let pages: usize = pages.split(' ').nth(1)?.parse().ok()?;
--- a/crates/proxy/src/sockets/socket.rs
+++ b/crates/proxy/src/sockets/socket.rs
@@ -36,6 +36,11 @@
         Socket { stream }
     }
 
+    /// Becomes ready once the runtime expects that the socket can be read.
+    pub fn poll_readable(&self, cx: &mut Context<'_>) -> Poll<()> {
+        self.stream.poll_read_ready(cx).map(|_| ())
+    }
+
     /// Reads into `buffer`. Becomes ready with the number of bytes, 0 at the end of input.
     ///
     /// # Errors
