--- a/crates/proxy/src/discovery/buffer_budget.rs
+++ b/crates/proxy/src/discovery/buffer_budget.rs
@@ -5,8 +5,8 @@
 
 use crate::discovery::error::DiscoveryError;
 
-/// Maximum number of bytes of all bodies together: two of the maximum size, or four lists of the largest fleet.
-const MAX_BUFFERED_BYTES: usize = 4 << 20;
+/// Maximum number of bytes of all bodies together: one of the maximum size, or two lists of the largest fleet.
+const MAX_BUFFERED_BYTES: usize = 2 << 20;
 
 /// The bytes that are still free.
 pub(super) struct BufferBudget {
--- a/crates/proxy/src/downstream/client_stream.rs
+++ b/crates/proxy/src/downstream/client_stream.rs
@@ -17,7 +17,7 @@
 /// Maximum size in bytes of a request head.
 pub(super) const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Maximum size in bytes of a request head while memory is short. Short requests have heads of a few hundred bytes.
-pub(super) const MAX_TIGHT_HEAD_BYTES: usize = 4 * 1024;
+pub(super) const MAX_HEAD_BYTES_WHILE_SHORT: usize = 4 * 1024;
 /// Number of bytes by which the read-ahead buffer grows.
 const BUFFER_STEP_BYTES: usize = 1024;
 /// Maximum size in bytes of the read-ahead buffer. It holds hundreds of requests that a client sends at once.
@@ -208,8 +208,9 @@
     fn read_to_end_of_input(&mut self) -> bool {
         for _ in 0..MAX_READS_PER_DISCONNECT_CHECK {
             if !self.may_read_ahead() {
-                self.last_connected_at = Some(Instant::now());
-                return self.socket.has_peer_closed();
+                let has_closed = self.socket.has_peer_closed();
+                self.last_connected_at = (!has_closed).then(Instant::now);
+                return has_closed;
             }
             match self.read_from_kernel() {
                 Some(0) => return true,
--- a/crates/proxy/src/downstream/head_reader.rs
+++ b/crates/proxy/src/downstream/head_reader.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
-use crate::downstream::client_stream::{ClientStream, MAX_HEAD_BYTES, MAX_TIGHT_HEAD_BYTES};
+use crate::downstream::client_stream::{ClientStream, MAX_HEAD_BYTES, MAX_HEAD_BYTES_WHILE_SHORT};
 use crate::downstream::connection_stage::ConnectionStage;
 use crate::downstream::framing::{RequestHead, header_text, parse_request_head};
 use crate::downstream::headers::REQ_ID;
@@ -66,7 +66,9 @@
                     Ok(None) => {}
                 }
             }
-            if self.buffered_bytes() >= MAX_TIGHT_HEAD_BYTES && self.memory.level() != MemoryLevel::Normal {
+            if self.buffered_bytes() >= MAX_HEAD_BYTES_WHILE_SHORT
+                && self.memory.level() != MemoryLevel::Normal
+            {
                 return Poll::Ready(Ok(self.reject_for_memory(MemoryCause::LargeRequest)));
             }
             let free_bytes = MAX_HEAD_BYTES - self.buffered_bytes();
--- a/crates/proxy/src/memory/budget.rs
+++ b/crates/proxy/src/memory/budget.rs
@@ -93,7 +93,7 @@
     peak_bytes: Cell<usize>,
     /// Returns the bytes of the heap in use.
     live_bytes: fn() -> usize,
-    /// Since when memory has been short; `None` in the normal level.
+    /// When memory became short; `None` in the normal level.
     short_since: Cell<Option<Instant>>,
     /// Notified when memory is found short.
     shortage: Notify,
--- a/crates/proxy/src/memory/budget/tests.rs
+++ b/crates/proxy/src/memory/budget/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::memory::process_share;
 
 const MIB: usize = 1 << 20;
 const SMALL: RequestSize = RequestSize { head_bytes: 250, header_fields: 7, body_bytes: Some(0) };
@@ -39,6 +40,22 @@
     assert!(budget.admit(LARGE).is_ok(), "the charges are released");
 }
 
+#[tokio::test]
+async fn the_heap_limits_of_all_processes_together_fit_into_every_limit_of_the_platform() {
+    for megabytes in 32..=192 {
+        for running in 1..=3 {
+            let share = process_share(megabytes * MIB, running);
+            let budget = MemoryBudget::with_program(share, 7 * MIB / 2, || MIB / 2);
+            // From 8 upstreams to the most that the platform lists for this much memory.
+            for endpoints in [8, 200, 1000] {
+                budget.set_endpoint_count(endpoints);
+                let resident = budget.program_bytes + (budget.heap_limit() as f64 / HEAP_EFFICIENCY) as usize;
+                assert!(resident <= share, "{megabytes} MB, {running} processes, {endpoints} endpoints");
+            }
+        }
+    }
+}
+
 #[test]
 fn a_request_with_a_body_that_is_long_or_not_declared_is_large() {
     assert!(SMALL.is_small());
--- a/crates/proxy/src/memory/causes.rs
+++ b/crates/proxy/src/memory/causes.rs
@@ -1,9 +1,9 @@
-//! What is closed or refused because memory is short, counted by cause.
+//! Causes of connections closed and requests refused while memory is short, and their counts.
 
 use std::cell::Cell;
 use std::fmt;
 
-/// What was closed or refused because memory is short.
+/// The cause of a connection closed or a request refused while memory is short.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MemoryCause {
     /// An idle connection to an upstream was closed.
