Let the test of a client that leaves wait for its own attempt

Cause, from its panic: it took the first connection to the upstream for the attempt of its request, and read a whole message from it. While memory is short a body of the crowd is forwarded as it arrives, so the first connection may be that of a body which never ends. The test now reads heads until the one with its request's id. The assertion is the same.

--- a/crates/proxy/tests/memory_limit/disconnects.rs
+++ b/crates/proxy/tests/memory_limit/disconnects.rs
@@ -1,5 +1,6 @@
 //! Clients that leave while memory is short and their input stays in the kernel.
 
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 use crate::common::*;
@@ -19,11 +20,27 @@
     crowd.write_round();
     balancer.wait_for_log("memory is short");
     let text = request("pay", "r-leaves", "");
-    let mut leaving = RequestInFlight::start(balancer.connect(), &upstream, &text);
-    send(&mut leaving.client, &"x".repeat(32 << 10));
+    let mut client = balancer.connect();
+    send(&mut client, &text);
+    let _attempts = accept_until(&upstream, "r-leaves");
+    send(&mut client, &"x".repeat(32 << 10));
     std::thread::sleep(Duration::from_millis(100));
     let left_at = Instant::now();
-    drop(leaving.client);
+    drop(client);
     balancer.wait_for_log("dropped, its client has disconnected (id r-leaves");
     assert!(left_at.elapsed() < NOTICE_TIME, "the client's end was noticed after {:?}", left_at.elapsed());
 }
+
+/// Accepts the connections of attempts until the one with this request id, and returns them. Those before it are for bodies of
+/// the crowd.
+fn accept_until(upstream: &Peer, id: &str) -> Vec<TcpStream> {
+    let mut attempts = Vec::new();
+    loop {
+        let mut attempt = upstream.accept();
+        let head = read_head(&mut attempt).expect("an attempt arrives");
+        attempts.push(attempt);
+        if head.header("req-id") == Some(id) {
+            return attempts;
+        }
+    }
+}
