Wait in a memory test until the balancer has closed its upstream connections

Cause, from the balancer's log of a run that failed here: the test closed its ends of the pooled upstream connections and sent the next request at once. The balancer had not yet seen the close of one of them, sent the request on it, and got a reset ("attempt 0 ended: reset", "failed: no retry allowed"): a request that is not idempotent may not be repeated after that. Memory was not short any more (702,016 bytes in use, normal up to 6,488,746).

The test now shuts its sending sides down and waits until the balancer has closed each connection, which the old form assumed. It checks the same, and that the balancer closes what its upstream closed.

--- a/crates/proxy/tests/client_limits.rs
+++ b/crates/proxy/tests/client_limits.rs
@@ -24,8 +24,8 @@
     let mut small = RequestInFlight::start(balancer.connect(), &upstream, &request("pay", "r-small", ""));
     small.complete();
     in_flight.iter_mut().for_each(RequestInFlight::complete);
-    // Closes the connections to the upstreams, so that the next request comes on a new one.
-    drop((in_flight, small));
+    // The next request comes on a new connection once the balancer has closed all of these.
+    in_flight.into_iter().chain([small]).for_each(RequestInFlight::close);
     let mut next = RequestInFlight::start(balancer.connect(), &upstream, &large_request("r-next"));
     next.complete();
 }
--- a/crates/proxy/tests/common/in_flight.rs
+++ b/crates/proxy/tests/common/in_flight.rs
@@ -1,8 +1,8 @@
 //! Requests that were forwarded and have no response yet.
 
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 
-use super::{Peer, read_message, respond_ok, send};
+use super::{Peer, peer_closed, read_message, respond_ok, send};
 
 /// A request that an upstream has received and not yet responded to.
 pub struct RequestInFlight {
@@ -27,4 +27,15 @@
         respond_ok(&mut self.upstream);
         assert_eq!(read_message(&mut self.client).expect("a response arrives").status(), 200);
     }
+
+    /// Closes both connections and waits until the balancer has closed that to the upstream.
+    #[track_caller]
+    pub fn close(mut self) {
+        // Fails if the balancer has closed the connection already.
+        let _ = self.upstream.shutdown(Shutdown::Write);
+        assert!(
+            peer_closed(&mut self.upstream),
+            "the balancer keeps a connection that its upstream has closed"
+        );
+    }
 }
