Count the heap with the registry's cap in place of an allocator of our own

Cause: the own counting allocator had no figures that carry it, and needed unsafe code and a marked thread.

Change: cap wraps the system's allocator, sets no limit and tells the bytes in use; counting_allocator.rs and set_serving_thread go.

--- a/crates/proxy/src/memory/budget.rs
+++ b/crates/proxy/src/memory/budget.rs
@@ -11,8 +11,7 @@
 use tokio::time::Instant;
 
 use crate::memory::causes::{MemoryCause, MemoryCounts};
-use crate::memory::counting_allocator::live_bytes;
-use crate::memory::heap::{self, HeapReading};
+use crate::memory::heap::{HeapReading, live_bytes, release_free_memory};
 
 /// Share of the heap's resident bytes that are in use; the rest is lost to the allocator's bookkeeping and to gaps.
 const HEAP_EFFICIENCY: f64 = 0.8;
@@ -222,7 +221,7 @@
     pub fn release_after_peak(&self, min_bytes: usize) {
         let live = (self.live_bytes)();
         if self.peak_bytes.get() >= live + min_bytes {
-            heap::release_free_memory();
+            release_free_memory();
             self.peak_bytes.set(live);
         }
     }
--- a/crates/proxy/src/memory/heap.rs
+++ b/crates/proxy/src/memory/heap.rs
@@ -1,12 +1,18 @@
 //! The heap of the process: how many bytes are in use, and the return of free pages to the kernel.
 
-use crate::memory::counting_allocator::live_bytes;
+use std::alloc::System;
+
+use cap::Cap;
 
 /// File with the number of resident pages of this process as its second field.
 const RESIDENT_PAGES_FILE: &str = "/proc/self/statm";
 /// Size of a page in bytes, as assumed where the system does not tell it.
 const DEFAULT_PAGE_BYTES: usize = 4096;
 
+/// The allocator of the process. It counts the bytes in use and limits nothing: the limits are those of the memory budget.
+#[global_allocator]
+static ALLOCATOR: Cap<System> = Cap::new(System, usize::MAX);
+
 /// The heap's bytes in use and the process's resident bytes at one time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct HeapReading {
@@ -23,6 +29,11 @@
     }
 }
 
+/// Returns how many bytes of the heap are in use, in all threads.
+pub fn live_bytes() -> usize {
+    ALLOCATOR.allocated()
+}
+
 fn resident_bytes() -> Option<usize> {
     let pages = std::fs::read_to_string(RESIDENT_PAGES_FILE).ok()?;
     let pages: usize = pages.split(' ').nth(1)?.parse().ok()?;
--- a/crates/proxy/src/process/mod.rs
+++ b/crates/proxy/src/process/mod.rs
@@ -18,7 +18,6 @@
 
 use crate::lifecycle::hot_restart::inherit_listener;
 use crate::log;
-use crate::memory::set_serving_thread;
 
 pub use error::StartError;
 
@@ -27,7 +26,6 @@
 /// # Errors
 /// The configuration is rejected, or the process cannot open what it needs to serve.
 pub fn start() -> Result<(), StartError> {
-    set_serving_thread();
     // `inherit_listener` takes ownership of a descriptor by its number, so it has to be called before any file or socket is
     // opened.
     let inherited = environment_variable("EDGE_FD")
