Read the rings of request ids without holding them, and halve the memory of an id

What callers would see: a process that starts beside others while the rings of request ids are full passes its share of the memory before its first client, and together with a crowd the processes pass memory_mb.

A table entry held a time and a wide process number, and its queue grew by doubling.

Change: the rings are read in place, oldest record first, and applied one by one. The stored form and what is remembered, for how long, stay.

Shown by processes_that_start_with_full_rings_of_request_ids_stay_within_their_shares_and_serve_short_requests and the_peaks_of_three_processes_with_full_rings_of_request_ids_are_together_within_the_memory_limit.

--- a/crates/proxy/src/lifecycle/hot_restart/process_registration.rs
+++ b/crates/proxy/src/lifecycle/hot_restart/process_registration.rs
@@ -8,7 +8,7 @@
 
 /// Maximum number of processes of one balancer that run at the same time: one that shuts down, its successor and two
 /// spare ones.
-pub const MAX_PROCESSES: usize = 4;
+pub const MAX_PROCESSES: u8 = 4;
 /// Maximum number of attempts to lock a free file at the start. Together with their pauses they take half a second, which
 /// is far less than the start of a process may take.
 const MAX_LOCK_ATTEMPTS: u32 = 25;
@@ -37,7 +37,7 @@
 /// system releases the lock when the process ends for whatever reason.
 pub struct ProcessRegistration {
     /// The number of this process's lock file.
-    slot: usize,
+    slot: u8,
     _own_lock: File,
     other_locks: Vec<File>,
 }
@@ -52,13 +52,13 @@
             .map(|number| create_lock_file(folder, number))
             .collect::<Result<_, ProcessRegistrationError>>()?;
         let slot = lock_free_file(&files)?;
-        let own_lock = files.remove(slot);
+        let own_lock = files.remove(usize::from(slot));
         Ok(ProcessRegistration { slot, _own_lock: own_lock, other_locks: files })
     }
 
     /// Returns the number of this process, which no other running process of this balancer has, less than
     /// [`MAX_PROCESSES`].
-    pub fn slot(&self) -> usize {
+    pub fn slot(&self) -> u8 {
         self.slot
     }
 
@@ -73,9 +73,10 @@
 ///
 /// # Errors
 /// All files are locked by running processes.
-fn lock_free_file(files: &[File]) -> Result<usize, ProcessRegistrationError> {
+fn lock_free_file(files: &[File]) -> Result<u8, ProcessRegistrationError> {
     for _ in 0..MAX_LOCK_ATTEMPTS {
-        if let Some(free) = files.iter().position(|file| file.try_lock().is_ok()) {
+        let mut numbered = (0..MAX_PROCESSES).zip(files);
+        if let Some((free, _)) = numbered.find(|(_, file)| file.try_lock().is_ok()) {
             return Ok(free);
         }
         sleep(LOCK_RETRY_PAUSE);
@@ -83,7 +84,7 @@
     Err(ProcessRegistrationError::TooManyProcesses)
 }
 
-fn create_lock_file(folder: &Path, number: usize) -> Result<File, ProcessRegistrationError> {
+fn create_lock_file(folder: &Path, number: u8) -> Result<File, ProcessRegistrationError> {
     let path = folder.join(format!("sloeline-process-{number}.lock"));
     File::create(&path).map_err(|source| ProcessRegistrationError::LockFile { path, source })
 }
--- a/crates/proxy/src/process/shared_state_task.rs
+++ b/crates/proxy/src/process/shared_state_task.rs
@@ -37,7 +37,7 @@
     }
 
     /// Returns the number of this process among those of its balancer, or `None` if this process does not count others.
-    pub fn slot(&self) -> Option<usize> {
+    pub fn slot(&self) -> Option<u8> {
         self.registration.as_ref().map(ProcessRegistration::slot)
     }
 
--- a/crates/proxy/src/request_ids/journal.rs
+++ b/crates/proxy/src/request_ids/journal.rs
@@ -19,13 +19,11 @@
     others: Vec<OtherRing>,
     /// Records of this process that are not written yet, oldest first.
     unwritten: VecDeque<UnwrittenRecord>,
-    /// Records that were in the rings when they were opened, with the numbers of their processes.
-    initial: Vec<(usize, Record)>,
 }
 
 /// The ring of another process.
 struct OtherRing {
-    slot: usize,
+    slot: u8,
     ring: Ring,
 }
 
@@ -36,23 +34,27 @@
 }
 
 impl IdJournal {
-    /// Opens the rings in `folder`; this process writes the one with the number `slot`.
+    /// Opens the rings in `folder`; this process writes the one with the number `slot`. Passes the records in them to
+    /// `on_record`, with the number of their process; those of the process that had this process's number before come first.
     ///
     /// # Errors
     ///
     /// A file cannot be created or read.
-    pub(super) fn open(folder: &Path, slot: usize) -> io::Result<IdJournal> {
-        let mut initial = Vec::new();
-        let mut open = |number: usize| {
+    pub(super) fn open(
+        folder: &Path,
+        slot: u8,
+        mut on_record: impl FnMut(u8, Record),
+    ) -> io::Result<IdJournal> {
+        let mut open = |number: u8| {
             let path = folder.join(format!("zincstand-request-ids-{number}.ring"));
-            Ring::open(&path, |record| initial.push((number, record)))
+            Ring::open(&path, |record| on_record(number, record))
         };
         let own = open(slot)?;
         let mut others = Vec::new();
         for other in (0..MAX_PROCESSES).filter(|number| *number != slot) {
             others.push(OtherRing { slot: other, ring: open(other)? });
         }
-        Ok(IdJournal { own, others, unwritten: VecDeque::new(), initial })
+        Ok(IdJournal { own, others, unwritten: VecDeque::new() })
     }
 
     /// Writes a record. If that fails, it is written with a later one.
@@ -82,12 +84,8 @@
         Ok(())
     }
 
-    /// Passes the new records of the other processes to `on_record`, with the number of the process. The first call also
-    /// passes the records of the process that had this process's number before.
-    pub(super) fn read_others(&mut self, mut on_record: impl FnMut(usize, Record)) {
-        for (slot, record) in std::mem::take(&mut self.initial) {
-            on_record(slot, record);
-        }
+    /// Passes the new records of the other processes to `on_record`, with the number of the process.
+    pub(super) fn read_others(&mut self, mut on_record: impl FnMut(u8, Record)) {
         for other in &mut self.others {
             other.ring.read_new(|record| on_record(other.slot, record));
         }
--- a/crates/proxy/src/request_ids/mod.rs
+++ b/crates/proxy/src/request_ids/mod.rs
@@ -19,7 +19,7 @@
 
 use crate::log::log_line;
 use crate::request_ids::journal::IdJournal;
-use crate::request_ids::record::RecordKind;
+use crate::request_ids::record::{Record, RecordKind};
 use crate::request_ids::table::{Holder, IdState, IdTable};
 
 /// Minimum time for which an id is retained after its request has ended.
@@ -105,12 +105,15 @@
     /// Shares the ids with the other processes that use `folder`. `slot` is this process's number among them. The ids that
     /// they and this process's predecessors have claimed are read first. If the files cannot be opened, the ids are not
     /// shared, which is logged.
-    pub fn share(&self, folder: &Path, slot: usize) {
-        match IdJournal::open(folder, slot) {
+    pub fn share(&self, folder: &Path, slot: u8) {
+        let now = Instant::now();
+        let opened = IdJournal::open(folder, slot, |slot, record| {
+            apply_record(&mut self.table.borrow_mut(), slot, record, now);
+        });
+        match opened {
             Ok(journal) => *self.journal.borrow_mut() = Some(journal),
             Err(error) => log_line!("request ids: not shared with other processes: {error}"),
         }
-        self.synchronize();
     }
 
     /// Records whether another process of this balancer is running. If so, a claim must be shared before it is granted.
@@ -206,10 +209,16 @@
 /// Applies the new records of the other processes to the table.
 fn read_others(journal: &mut IdJournal, table: &mut IdTable) {
     let now = Instant::now();
-    journal.read_others(|slot, record| match record.kind {
-        RecordKind::Claimed => table.retain(record.fingerprint, Holder::OtherProcess(slot), now),
-        RecordKind::Released => table.remove(record.fingerprint, Holder::OtherProcess(slot)),
-    });
+    journal.read_others(|slot, record| apply_record(table, slot, record, now));
+}
+
+/// Applies a record of another process, or of the process that had this process's number before.
+fn apply_record(table: &mut IdTable, slot: u8, record: Record, now: Instant) {
+    let holder = Holder::OtherProcess(slot);
+    match record.kind {
+        RecordKind::Claimed => table.retain(record.fingerprint, holder, now),
+        RecordKind::Released => table.remove(record.fingerprint, holder),
+    }
 }
 
 /// Returns the number that stands for an id. It is the same in all processes.
--- a/crates/proxy/src/request_ids/ring.rs
+++ b/crates/proxy/src/request_ids/ring.rs
@@ -1,7 +1,8 @@
 //! The file of one process: a ring of the newest records. One process writes it, and the others read it.
 
 use std::fs::File;
-use std::io::{self, Read, Seek, SeekFrom, Write};
+use std::io::{self, BufReader, Read, Seek, SeekFrom, Write};
+use std::ops::Range;
 use std::path::Path;
 
 use crate::request_ids::record::{RECORD_BYTES, Record};
@@ -11,6 +12,8 @@
 const RING_RECORDS: u32 = 32_768;
 /// Length of a complete ring in bytes.
 const RING_BYTES: u64 = RING_RECORDS as u64 * RECORD_BYTES as u64;
+/// Buffer for reading a whole ring, in bytes.
+const READ_BUFFER_BYTES: usize = 16 << 10;
 /// Number of records that one call reads.
 const RECORDS_PER_READ: usize = 64;
 
@@ -27,17 +30,17 @@
     /// # Errors
     ///
     /// The file cannot be opened or read.
-    pub(super) fn open(path: &Path, on_record: impl FnMut(Record)) -> io::Result<Ring> {
+    pub(super) fn open(path: &Path, mut on_record: impl FnMut(Record)) -> io::Result<Ring> {
         let mut file = File::options().read(true).write(true).create(true).truncate(false).open(path)?;
-        let mut content = Vec::new();
-        Read::by_ref(&mut file).take(RING_BYTES).read_to_end(&mut content)?;
-        let mut records: Vec<Record> =
-            content.chunks_exact(RECORD_BYTES).filter_map(Record::from_bytes).collect();
-        // The sequence wraps around, so records are ordered by their distance from the newest.
-        let newest = records.iter().map(|record| record.sequence).reduce(later);
+        let mut newest = None;
+        read_records(&mut file, 0..RING_BYTES, |record| {
+            newest = Some(newest.map_or(record.sequence, |newest| later(newest, record.sequence)));
+        })?;
         let next_sequence = newest.map_or(1, |newest| newest.wrapping_add(1));
-        records.sort_by_key(|record| std::cmp::Reverse(next_sequence.wrapping_sub(record.sequence)));
-        records.into_iter().for_each(on_record);
+        // The place of the next record is that of the oldest one.
+        let oldest = offset(next_sequence);
+        read_records(&mut file, oldest..RING_BYTES, &mut on_record)?;
+        read_records(&mut file, 0..oldest, &mut on_record)?;
         Ok(Ring { file, next_sequence })
     }
 
@@ -84,6 +87,26 @@
     }
 }
 
+/// Passes the records in a part of the file to `on_record`, in the order of their places. Records that were never written, or
+/// not completely, are left out.
+///
+/// # Errors
+///
+/// The file cannot be read.
+fn read_records(file: &mut File, bytes: Range<u64>, mut on_record: impl FnMut(Record)) -> io::Result<()> {
+    file.seek(SeekFrom::Start(bytes.start))?;
+    let part = Read::by_ref(file).take(bytes.end - bytes.start);
+    let mut reader = BufReader::with_capacity(READ_BUFFER_BYTES, part);
+    let mut record = [0; RECORD_BYTES];
+    loop {
+        match reader.read_exact(&mut record) {
+            Ok(()) => Record::from_bytes(&record).into_iter().for_each(&mut on_record),
+            Err(error) if error.kind() == io::ErrorKind::UnexpectedEof => return Ok(()),
+            Err(error) => return Err(error),
+        }
+    }
+}
+
 /// Returns the place of a record in the file, in bytes.
 fn offset(sequence: u32) -> u64 {
     u64::from(sequence % RING_RECORDS) * RECORD_BYTES as u64
--- a/crates/proxy/src/request_ids/tests.rs
+++ b/crates/proxy/src/request_ids/tests.rs
@@ -22,7 +22,7 @@
 }
 
 /// Returns the ids of the process with this number.
-fn shared_ids(folder: &Path, slot: usize) -> Rc<RequestIds> {
+fn shared_ids(folder: &Path, slot: u8) -> Rc<RequestIds> {
     let ids = RequestIds::new(Retention { capacity: 100_000, ..RETENTION });
     ids.share(folder, slot);
     ids.set_others_running(true);
--- a/crates/proxy/tests/memory_limit/main.rs
+++ b/crates/proxy/tests/memory_limit/main.rs
@@ -7,4 +7,5 @@
 mod forms;
 mod load;
 mod processes;
+mod request_ids;
 mod slow_transfers;
--- a/crates/proxy/tests/memory_limit/processes.rs
+++ b/crates/proxy/tests/memory_limit/processes.rs
@@ -4,6 +4,7 @@
 
 use crate::common::*;
 use crate::load::*;
+use crate::request_ids::write_full_rings;
 
 /// How long a crowd loads one process before the next event.
 const PROCESS_LOAD_TIME: Duration = Duration::from_secs(1);
@@ -19,14 +20,14 @@
     assert_held_within(&MIXED_LOAD, MEMORY_MB, 256);
 }
 
-#[test]
-fn the_peaks_of_three_processes_of_a_hot_restart_under_a_crowd_are_together_within_the_memory_limit() {
-    let _one_crowd = lock_crowd();
+/// Starts three processes of a hot restart one after the other in a folder, and loads each with a crowd. Returns the peaks of
+/// their resident memory in kB.
+fn peaks_of_three_processes_under_a_crowd(folder: &SharedFolder) -> Vec<usize> {
     let upstreams = start_upstreams(&MIXED_LOAD);
-    let (folder, listener) = (SharedFolder::new("memory-restart"), free_listener());
+    let listener = free_listener();
     let start = || {
         let setup = Setup::with_upstreams(&upstreams).memory_mb(MEMORY_MB).sockets(DESCRIPTORS);
-        setup.inherited_listener(&listener).folder(&folder).with_admin().start()
+        setup.inherited_listener(&listener).folder(folder).with_admin().start()
     };
     let mut processes = vec![start()];
     let mut crowds = Vec::new();
@@ -39,12 +40,29 @@
             processes.push(start());
         }
     }
-    let peaks: Vec<_> = processes.iter().map(Balancer::peak_memory_kb).collect();
-    println!("peaks of the processes: {peaks:?} kB");
-    assert!(
-        peaks.iter().sum::<usize>() < MEMORY_MB << 10,
-        "{peaks:?} kB together, the limit is {MEMORY_MB} MB"
-    );
+    processes.iter().map(Balancer::peak_memory_kb).collect()
+}
+
+#[track_caller]
+fn assert_together_within_limit(peaks_kb: &[usize]) {
+    println!("peaks of the processes: {peaks_kb:?} kB");
+    let sum_kb: usize = peaks_kb.iter().sum();
+    assert!(sum_kb < MEMORY_MB << 10, "{peaks_kb:?} kB together, the limit is {MEMORY_MB} MB");
+}
+
+#[test]
+fn the_peaks_of_three_processes_of_a_hot_restart_under_a_crowd_are_together_within_the_memory_limit() {
+    let _one_crowd = lock_crowd();
+    let folder = SharedFolder::new("memory-restart");
+    assert_together_within_limit(&peaks_of_three_processes_under_a_crowd(&folder));
+}
+
+#[test]
+fn the_peaks_of_three_processes_with_full_rings_of_request_ids_are_together_within_the_memory_limit() {
+    let _one_crowd = lock_crowd();
+    let folder = SharedFolder::new("memory-restart-full-rings");
+    write_full_rings(&folder.path);
+    assert_together_within_limit(&peaks_of_three_processes_under_a_crowd(&folder));
 }
 
 #[test]
