Charge a request for the long body that is still to arrive

Cause, from the budget's numbers at each refusal: 84 requests were admitted, charged 74 KB each, and then held 98 to 117 KB each as their bodies arrived; with 4 KB for each of 436 refused clients, which are answered and closed within half a second, 9,851,264 of 9,909,991 bytes were in use, and nothing was left for a short request. The stalled ones go after a second only.

Change: a request whose body is longer than 6 KiB or not declared is charged 48 KiB more from its admission on.

Also: the log says when memory is no longer short, and with each report how many bytes are allocated and how many are resident; the memory tests print both and check what is allocated after a crowd has left.

--- a/crates/proxy/src/downstream/memory_shedding.rs
+++ b/crates/proxy/src/downstream/memory_shedding.rs
@@ -4,20 +4,22 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::downstream::connection_stage::ConnectionStage;
 use crate::downstream::evictable_connections::Eviction;
 use crate::downstream::progress::ConnectionProgress;
 use crate::downstream::server::{Server, UpstreamTransport};
 use crate::log::log_line;
-use crate::memory::{MemoryCause, MemoryLevel};
+use crate::memory::{HeapReading, MemoryCause, MemoryLevel};
 use crate::upstream::Upstreams;
 
 /// Time between two steps while memory is short.
 const STEP_INTERVAL: Duration = Duration::from_millis(20);
 /// Minimum time between two reports in the log.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Time without a shortage after which memory counts as no longer short. By then, free memory has been returned to the system.
+const RECOVERY_TIME: Duration = Duration::from_secs(2);
 /// Time without a byte after which a client that is sending a request counts as stalled. The slowest clients that must be
 /// served pause for half of it.
 const REQUEST_STALL: Duration = Duration::from_secs(1);
@@ -31,23 +33,39 @@
 impl<T: UpstreamTransport> Server<T> {
     /// Frees memory whenever it is found short. Never returns.
     pub async fn shed_when_memory_is_short(self: Rc<Self>, upstreams: Rc<Upstreams>) {
-        let mut reported_at = Instant::now();
         loop {
             self.memory.wait_for_shortage().await;
-            loop {
-                let excess = self.memory.excess_bytes();
-                if excess > 0 {
-                    self.free_memory(excess, &upstreams);
-                }
-                if reported_at.elapsed() >= REPORT_INTERVAL {
-                    reported_at = Instant::now();
-                    self.report_shortage();
-                    if excess == 0 {
-                        break;
-                    }
+            self.shed_until_recovered(&upstreams).await;
+            log_line!("memory: no longer short ({})", HeapReading::now());
+        }
+    }
+
+    /// Frees memory until it has not been short for a while.
+    async fn shed_until_recovered(&self, upstreams: &Upstreams) {
+        loop {
+            self.shed_until_enough_is_free(upstreams).await;
+            if timeout(RECOVERY_TIME, self.memory.wait_for_shortage()).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Frees memory until enough is free at the time of a report.
+    async fn shed_until_enough_is_free(&self, upstreams: &Upstreams) {
+        let mut reported_at = Instant::now();
+        loop {
+            let excess = self.memory.excess_bytes();
+            if excess > 0 {
+                self.free_memory(excess, upstreams);
+            }
+            if reported_at.elapsed() >= REPORT_INTERVAL {
+                reported_at = Instant::now();
+                self.report_shortage();
+                if excess == 0 {
+                    return;
                 }
-                sleep(STEP_INTERVAL).await;
             }
+            sleep(STEP_INTERVAL).await;
         }
     }
 
@@ -85,7 +103,8 @@
     fn report_shortage(&self) {
         let Some(events) = self.memory.counts().take_report() else { return };
         let (used, limit) = (self.memory.used_bytes(), self.memory.heap_limit());
-        log_line!("memory: short ({used} of {limit} bytes in use), closed or refused: {events}");
+        let reading = HeapReading::now();
+        log_line!("memory: short ({used} of {limit} bytes used; {reading}), closed or refused: {events}");
     }
 }
 
--- a/crates/proxy/src/memory/budget.rs
+++ b/crates/proxy/src/memory/budget.rs
@@ -23,13 +23,15 @@
 const ENDPOINT_BYTES: usize = 1200;
 /// Resident bytes of the program itself, where the system does not tell them.
 const DEFAULT_PROGRAM_BYTES: usize = 4 << 20;
-/// Memory of one request besides its head: the tasks of its two connections, and their buffers once the response flows.
+/// Memory of one request besides its head and a long body: the tasks of its two connections, and their buffers once the response flows.
 const REQUEST_BYTES: usize = 72 << 10;
 /// Time over which the reserve is made available, the bytes between the limit of the normal level and the limit of the heap. A
 /// crowd that arrives at once does not get them, so that requests which arrive later can be admitted.
 const RESERVE_TIME: Duration = Duration::from_secs(2);
 /// The part of the reserve that is available at once, in requests.
 const RESERVE_AT_ONCE: usize = 8;
+/// Memory of a long body on its way through the proxy: its beginning, and the buffers of both connections.
+const LONG_BODY_BYTES: usize = 48 << 10;
 /// Memory of one parsed header field besides its bytes.
 const HEADER_FIELD_BYTES: usize = 112;
 /// Bytes of a head that are held at the same time for each byte on the wire: as received and as sent to the upstream.
@@ -67,10 +69,19 @@
         self.head_bytes * HEAD_COPIES + self.header_fields * HEADER_FIELD_BYTES
     }
 
+    /// Returns the bytes that the request takes while it is forwarded.
+    fn memory(self) -> usize {
+        let body_bytes = if self.has_small_body() { 0 } else { LONG_BODY_BYTES };
+        REQUEST_BYTES + self.head_memory() + body_bytes
+    }
+
     /// Returns whether the request takes little memory.
     fn is_small(self) -> bool {
-        let has_small_body = self.body_bytes.is_some_and(|length| length <= MAX_SMALL_BYTES as u64);
-        has_small_body && self.head_memory() <= MAX_SMALL_BYTES
+        self.has_small_body() && self.head_memory() <= MAX_SMALL_BYTES
+    }
+
+    fn has_small_body(self) -> bool {
+        self.body_bytes.is_some_and(|length| length <= MAX_SMALL_BYTES as u64)
     }
 }
 
@@ -188,7 +199,7 @@
     /// # Errors
     /// The cause for which the request is refused.
     pub fn admit(self: &Rc<Self>, size: RequestSize) -> Result<RequestCharge, MemoryCause> {
-        let bytes = REQUEST_BYTES + size.head_memory();
+        let bytes = size.memory();
         let level = self.level_with(bytes);
         if level == MemoryLevel::Normal {
             return Ok(RequestCharge::new(self, bytes, 0));
--- a/crates/proxy/src/memory/budget/tests.rs
+++ b/crates/proxy/src/memory/budget/tests.rs
@@ -63,6 +63,18 @@
     assert!(!RequestSize { body_bytes: Some(32 << 20), ..SMALL }.is_small());
 }
 
+#[tokio::test]
+async fn long_bodies_that_are_still_to_arrive_are_charged_from_the_admission_on() {
+    let budget = budget();
+    let long = RequestSize { body_bytes: Some(1 << 20), ..SMALL };
+    let charges: Vec<_> = std::iter::from_fn(|| budget.admit(long).ok()).collect();
+    let buffered_bytes = charges.len() * LONG_BODY_BYTES;
+    assert!(!charges.is_empty() && budget.excess_bytes() == 0);
+    assert!(budget.used_bytes() >= budget.own_bytes.get() + buffered_bytes + charges.len() * REQUEST_BYTES);
+    assert_eq!(budget.admit(long).err(), Some(MemoryCause::LargeRequest));
+    assert!(budget.admit(SMALL).is_ok(), "the reserve is free");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_process_that_needs_its_share_for_itself_still_admits_small_requests() {
     let budget = MemoryBudget::with_program(8 * MIB, 4 * MIB, || 6 * MIB);
--- a/crates/proxy/src/memory/heap.rs
+++ b/crates/proxy/src/memory/heap.rs
@@ -1,6 +1,7 @@
 //! The heap of the process: how many bytes are in use, and the return of free pages to the kernel.
 
 use std::alloc::System;
+use std::fmt;
 
 use cap::Cap;
 
@@ -29,6 +30,16 @@
     }
 }
 
+impl fmt::Display for HeapReading {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} bytes allocated", self.live_bytes)?;
+        match self.resident_bytes {
+            Some(resident_bytes) => write!(formatter, ", {resident_bytes} resident"),
+            None => Ok(()),
+        }
+    }
+}
+
 /// Returns how many bytes of the heap are in use, in all threads.
 pub fn live_bytes() -> usize {
     ALLOCATOR.allocated()
--- a/crates/proxy/src/memory/mod.rs
+++ b/crates/proxy/src/memory/mod.rs
@@ -7,4 +7,5 @@
 
 pub use budget::{MemoryBudget, MemoryLevel, RequestCharge, RequestSize};
 pub use causes::MemoryCause;
+pub use heap::HeapReading;
 pub use process_share::process_share;
--- a/crates/proxy/tests/memory_limit/load.rs
+++ b/crates/proxy/tests/memory_limit/load.rs
@@ -20,7 +20,8 @@
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
 /// Time after which the memory of a crowd that has left must be free again.
 const RELEASE_TIME: Duration = Duration::from_secs(3);
-/// How much more than before the crowd may be resident after [`RELEASE_TIME`], as a share of the memory limit.
+/// How much more than before the crowd may be resident after [`RELEASE_TIME`], and how much may be allocated then, as a share of
+/// the memory limit.
 const MAX_RETAINED_SHARE: usize = 8;
 /// Number of upstreams.
 const UPSTREAM_COUNT: usize = 40;
@@ -58,6 +59,66 @@
     others_sent: usize,
     others_served: usize,
     ends: CrowdEnds,
+    /// What the balancer logged of its memory.
+    log: MemoryLog,
+}
+
+/// The lines in which a balancer reports its memory.
+#[derive(Debug, Default)]
+struct MemoryLog {
+    /// The report with the most bytes allocated; `None` if memory was never short.
+    peak: Option<HeapReport>,
+    /// The report after the last shortage.
+    recovered: Option<HeapReport>,
+}
+
+/// The heap's allocated bytes and the process's resident bytes, as the balancer logged them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct HeapReport {
+    allocated_bytes: usize,
+    resident_bytes: usize,
+}
+
+impl HeapReport {
+    /// Reads the numbers before `bytes allocated` and before `resident`.
+    fn from_line(line: &str) -> Option<HeapReport> {
+        let number_before =
+            |text: &str| line.split(text).next()?.rsplit(' ').next()?.trim_start_matches('(').parse().ok();
+        Some(HeapReport {
+            allocated_bytes: number_before(" bytes allocated")?,
+            resident_bytes: number_before(" resident")?,
+        })
+    }
+}
+
+impl MemoryLog {
+    /// Reads the log. If memory was short, waits until the balancer reports that it is no longer.
+    fn read(balancer: &Balancer) -> MemoryLog {
+        let mut memory_log = MemoryLog::default();
+        loop {
+            let line = match balancer.log.try_recv() {
+                Ok(line) => line,
+                Err(_) if memory_log.is_short() => {
+                    balancer.log.recv_timeout(EVENT_TIMEOUT).expect("memory is free again")
+                }
+                Err(_) => return memory_log,
+            };
+            memory_log.read_line(&line);
+        }
+    }
+
+    fn is_short(&self) -> bool {
+        self.peak.is_some() && self.recovered.is_none()
+    }
+
+    fn read_line(&mut self, line: &str) {
+        if line.starts_with("memory: short") {
+            self.peak = self.peak.max(HeapReport::from_line(line));
+            self.recovered = None;
+        } else if line.starts_with("memory: no longer short") {
+            self.recovered = HeapReport::from_line(line);
+        }
+    }
 }
 
 /// Starts upstreams that answer other clients at once and the crowd as the load says.
@@ -130,6 +191,7 @@
         others_sent,
         others_served,
         ends,
+        log: MemoryLog::read(&balancer),
     }
 }
 
@@ -146,12 +208,16 @@
     let _one_crowd = lock_crowd();
     let measured = measure(load, memory_mb, descriptors);
     println!("{memory_mb} MB, {descriptors} descriptors: {measured:?}");
-    let Measured { at_rest_kb, peak_kb, released_kb, others_sent, others_served, ends } = measured;
+    let Measured { at_rest_kb, peak_kb, released_kb, others_sent, others_served, ends, log } = measured;
     assert!(peak_kb < memory_mb << 10, "the process used {peak_kb} kB, its limit is {memory_mb} MB");
     assert!(
         released_kb < at_rest_kb + (memory_mb << 10) / MAX_RETAINED_SHARE,
         "{released_kb} kB are still resident"
     );
+    if let Some(HeapReport { allocated_bytes, .. }) = log.recovered {
+        let max_bytes = (memory_mb << 20) / MAX_RETAINED_SHARE;
+        assert!(allocated_bytes < max_bytes, "{allocated_bytes} bytes are still allocated");
+    }
     assert!(
         others_served * 100 >= others_sent * MIN_SERVED_PERCENT,
         "{others_served} of {others_sent} short requests were served"
