Keep the reserve of memory while a shortage pauses for a moment

Cause, from the budget's numbers at each refusal: the bytes in use went up and down around the limit of the normal level (6.42 of 6.48 MB), each time began a new shortage, and with it the reserve for short requests began to grow anew from eight requests, which clients of the crowd already held.

The new unit test fails without the change ("the reserve is lost").

--- a/crates/proxy/src/memory/budget.rs
+++ b/crates/proxy/src/memory/budget.rs
@@ -85,6 +85,21 @@
     }
 }
 
+/// The times of a shortage. It ends after [`RESERVE_TIME`] in the normal level, which memory may also reach for a moment between
+/// two steps that free some.
+#[derive(Clone, Copy)]
+struct ShortageTimes {
+    began: Instant,
+    /// When memory was first found in the normal level again; `None` if it was found short since.
+    normal_since: Option<Instant>,
+}
+
+impl ShortageTimes {
+    fn is_over(&self) -> bool {
+        self.normal_since.is_some_and(|since| since.elapsed() >= RESERVE_TIME)
+    }
+}
+
 /// The memory budget of the process.
 pub struct MemoryBudget {
     /// Memory that this process may use, in bytes.
@@ -103,8 +118,8 @@
     peak_bytes: Cell<usize>,
     /// Returns the bytes of the heap in use.
     live_bytes: fn() -> usize,
-    /// When memory became short; `None` in the normal level.
-    short_since: Cell<Option<Instant>>,
+    /// The current shortage, or the last one.
+    shortage_times: Cell<Option<ShortageTimes>>,
     /// Notified when memory is found short.
     shortage: Notify,
     counts: MemoryCounts,
@@ -132,7 +147,7 @@
             reserve_bytes: Cell::new(0),
             peak_bytes: Cell::new(live_bytes()),
             live_bytes,
-            short_since: Cell::new(None),
+            shortage_times: Cell::new(None),
             shortage: Notify::new(),
             counts: MemoryCounts::default(),
         })
@@ -177,18 +192,31 @@
     fn level_with(&self, more: usize) -> MemoryLevel {
         let used = self.used_bytes() + more;
         if used <= self.short_limit() {
-            self.short_since.set(None);
+            self.record_normal();
             return MemoryLevel::Normal;
         }
-        self.short_since.set(self.short_since.get().or_else(|| Some(Instant::now())));
-        self.shortage.notify_one();
+        self.record_shortage();
         if used <= self.heap_limit() { MemoryLevel::Short } else { MemoryLevel::Exhausted }
     }
 
+    fn record_normal(&self) {
+        let Some(times) = self.shortage_times.get() else { return };
+        let normal_since = times.normal_since.or_else(|| Some(Instant::now()));
+        let times = ShortageTimes { normal_since, ..times };
+        self.shortage_times.set((!times.is_over()).then_some(times));
+    }
+
+    fn record_shortage(&self) {
+        let current = self.shortage_times.get().filter(|times| !times.is_over());
+        let began = current.map_or_else(Instant::now, |times| times.began);
+        self.shortage_times.set(Some(ShortageTimes { began, normal_since: None }));
+        self.shortage.notify_one();
+    }
+
     /// Returns whether the reserve has this many bytes for another request.
     fn has_reserve(&self, bytes: usize) -> bool {
-        let shortage = self.short_since.get().map_or(Duration::ZERO, |since| since.elapsed());
-        let share = (shortage.as_secs_f64() / RESERVE_TIME.as_secs_f64()).min(1.0);
+        let duration = self.shortage_times.get().map_or(Duration::ZERO, |times| times.began.elapsed());
+        let share = (duration.as_secs_f64() / RESERVE_TIME.as_secs_f64()).min(1.0);
         let reserve = self.heap_limit() - self.short_limit();
         let available = RESERVE_AT_ONCE * MAX_SMALL_REQUEST_BYTES + (reserve as f64 * share) as usize;
         self.reserve_bytes.get() + bytes <= available
--- a/crates/proxy/src/memory/budget/tests.rs
+++ b/crates/proxy/src/memory/budget/tests.rs
@@ -40,6 +40,27 @@
     assert!(budget.admit(LARGE).is_ok(), "the charges are released");
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_shortage_that_pauses_for_a_moment_does_not_take_the_reserve_away_again() {
+    let budget = budget();
+    let mut large: Vec<_> = std::iter::from_fn(|| budget.admit(LARGE).ok()).collect();
+    let mut small: Vec<_> = std::iter::from_fn(|| budget.admit(SMALL).ok()).collect();
+    tokio::time::advance(RESERVE_TIME / 2).await;
+    small.extend(std::iter::from_fn(|| budget.admit(SMALL).ok()).take(RESERVE_AT_ONCE));
+    large.truncate(large.len() / 2);
+    assert_eq!(budget.level(), MemoryLevel::Normal);
+    large.extend(std::iter::from_fn(|| budget.admit(LARGE).ok()));
+    // The first one may still be admitted in the normal level.
+    let others = [budget.admit(SMALL), budget.admit(SMALL)];
+    assert!(others.iter().all(Result::is_ok), "the reserve is lost");
+    large.clear();
+    assert_eq!(budget.level(), MemoryLevel::Normal);
+    tokio::time::advance(RESERVE_TIME).await;
+    large.extend(std::iter::from_fn(|| budget.admit(LARGE).ok()));
+    small.extend(budget.admit(SMALL));
+    assert_eq!(budget.admit(SMALL).err(), Some(MemoryCause::NewRequest), "a new shortage begins");
+}
+
 #[tokio::test]
 async fn the_heap_limits_of_all_processes_together_fit_into_every_limit_of_the_platform() {
     for megabytes in 32..=192 {
