--- a/crates/proxy/tests/client_limits.rs
+++ b/crates/proxy/tests/client_limits.rs
@@ -17,7 +17,7 @@
     // A process that runs alone may use half of the 32 MB, and the heap a part of that.
     let upstream = Peer::new();
     let balancer = Setup::with_upstreams(&[upstream.address; 40]).memory_mb(32).start();
-    let (mut in_flight, rejected) = fill_memory(&balancer, &upstream);
+    let FullMemory { mut in_flight, rejected } = fill_memory(&balancer, &upstream);
     assert!((20..=140).contains(&in_flight.len()), "{} bodies are in flight", in_flight.len());
     assert_eq!((rejected.status(), rejected.body.as_slice()), (503, b"no room".as_slice()));
     assert!(upstream.has_no_new_connection());
@@ -30,8 +30,15 @@
     next.complete();
 }
 
-/// Sends requests with long bodies, each on a new connection, until one is rejected. Returns those in flight and the rejection.
-fn fill_memory(balancer: &Balancer, upstream: &Peer) -> (Vec<RequestInFlight>, Message) {
+/// The requests that take the memory of a balancer.
+struct FullMemory {
+    in_flight: Vec<RequestInFlight>,
+    /// The response to the first request for which there was no memory.
+    rejected: Message,
+}
+
+/// Sends requests with long bodies, each on a new connection, until one is rejected.
+fn fill_memory(balancer: &Balancer, upstream: &Peer) -> FullMemory {
     let mut in_flight = Vec::new();
     loop {
         let mut client = balancer.connect();
@@ -42,7 +49,8 @@
                 break upstream;
             }
             if has_input(&client) {
-                return (in_flight, read_message(&mut client).expect("a response arrives"));
+                let rejected = read_message(&mut client).expect("a response arrives");
+                return FullMemory { in_flight, rejected };
             }
             std::thread::sleep(Duration::from_millis(5));
         };
