--- a/crates/proxy/src/discovery/calls.rs
+++ b/crates/proxy/src/discovery/calls.rs
@@ -26,7 +26,7 @@
 pub(super) struct FinishedCall {
     /// The call, which is no longer in flight.
     pub(super) call: Call,
-    /// Its result.
+    /// The result of the call.
     pub(super) result: CallResult,
 }
 
--- a/crates/proxy/tests/evacuation.rs
+++ b/crates/proxy/tests/evacuation.rs
@@ -43,13 +43,19 @@
     Setup::with_upstreams(&[address]).deadline_ms(DEADLINE_MS).with_admin().start()
 }
 
-/// Sends a request and waits for the first bytes of its response.
-fn begin_long_response(balancer: &Balancer, parts: usize) -> (TcpStream, Message) {
+/// A response whose head has arrived.
+struct LongResponse {
+    client: TcpStream,
+    message: Message,
+}
+
+/// Sends a request and waits for the head of its response.
+fn begin_long_response(balancer: &Balancer, parts: usize) -> LongResponse {
     let mut client = balancer.connect();
     send(&mut client, &request("look", &format!("r-{parts}"), ""));
-    let head = read_head(&mut client).expect("a response begins");
-    assert_eq!(head.header("connection"), None, "the response began before the call");
-    (client, head)
+    let message = read_head(&mut client).expect("a response begins");
+    assert_eq!(message.header("connection"), None, "the response began before the call");
+    LongResponse { client, message }
 }
 
 fn evacuate(balancer: &Balancer) -> Instant {
@@ -80,7 +86,7 @@
         [5, 15, 25, 33, 36, 38, 39, 40, 48].map(|parts| (parts, begin_long_response(&balancer, parts)));
     std::thread::sleep(Duration::from_millis(100));
     let called_at = evacuate(&balancer);
-    let clients = clients.map(|(parts, (mut client, mut message))| {
+    let clients = clients.map(|(parts, LongResponse { mut client, mut message })| {
         std::thread::spawn(move || {
             read_body(&mut client, &mut message).unwrap_or_else(|| panic!("{parts} parts: cut off"));
             let ended_at = Instant::now();
@@ -104,8 +110,8 @@
 #[test]
 fn a_request_that_follows_a_long_response_during_an_evacuation_is_answered() {
     let balancer = start(Duration::ZERO);
-    let [(mut client, mut message), (mut early, mut early_message)] =
-        [6, 6].map(|parts| begin_long_response(&balancer, parts));
+    let LongResponse { mut client, mut message } = begin_long_response(&balancer, 6);
+    let LongResponse { client: mut early, message: mut early_message } = begin_long_response(&balancer, 6);
     evacuate(&balancer);
     // A request that was sent before the end of the long response is read, and not closed on.
     send(&mut early, &request("look", "early", ""));
@@ -155,7 +161,7 @@
 #[test]
 fn a_connection_whose_response_ends_after_the_balancer_has_rejoined_stays_open() {
     let balancer = start(Duration::ZERO);
-    let (mut client, mut message) = begin_long_response(&balancer, 30);
+    let LongResponse { mut client, mut message } = begin_long_response(&balancer, 30);
     evacuate(&balancer);
     std::thread::sleep(Duration::from_millis(500));
     assert_eq!(balancer.admin_status("POST", "/api/rejoin"), 200);
@@ -187,7 +193,7 @@
             if is_replaced { setup.inherited_listener(&listener) } else { setup }
         };
         let mut balancer = setup().start();
-        let (mut client, mut message) = begin_long_response(&balancer, 30);
+        let LongResponse { mut client, mut message } = begin_long_response(&balancer, 30);
         let _successor = is_replaced.then(|| setup().start());
         let shutdown = balancer.start_shutdown();
         read_body(&mut client, &mut message).expect("the response is not cut off");
@@ -216,7 +222,7 @@
         setup.inherited_listener(&listener).with_admin()
     };
     let predecessor = setup().start();
-    let (mut client, mut message) = begin_long_response(&predecessor, 30);
+    let LongResponse { mut client, mut message } = begin_long_response(&predecessor, 30);
     let mut idle = predecessor.connect();
     assert_eq!(exchange(&mut idle, READINESS_CHECK).status(), 200);
     let successor = setup().start();
--- a/crates/proxy/tests/memory_limit/disconnects.rs
+++ b/crates/proxy/tests/memory_limit/disconnects.rs
@@ -31,8 +31,8 @@
     assert!(left_at.elapsed() < NOTICE_TIME, "the client's end was noticed after {:?}", left_at.elapsed());
 }
 
-/// Accepts the connections of attempts until the one with this request id, and returns them. Those before it are for bodies of
-/// the crowd.
+/// Accepts connections up to that of the attempt with this request id, and returns them in the order of their arrival. The
+/// earlier ones carry the bodies of the crowd.
 fn accept_until(upstream: &Peer, id: &str) -> Vec<TcpStream> {
     let mut attempts = Vec::new();
     loop {
--- a/crates/proxy/tests/memory_limit/load.rs
+++ b/crates/proxy/tests/memory_limit/load.rs
@@ -27,7 +27,7 @@
 const UPSTREAM_COUNT: usize = 40;
 /// How long an upstream works on a request of the crowd.
 const CROWD_WORK: Duration = Duration::from_millis(1500);
-/// Least share of the requests of other clients that must be served while a crowd stays, in percent.
+/// Minimum share of the short requests that must be served during the load of a crowd, in percent.
 const MIN_SERVED_PERCENT: usize = 90;
 /// Number of header fields of a head with many of them, a little fewer than a head may have.
 const FIELD_COUNT: usize = 90;
@@ -50,14 +50,13 @@
     pub parts_of: fn(usize) -> Vec<Vec<u8>>,
 }
 
-/// What was measured while a crowd stayed and after it left.
+/// The measurements during the load of a crowd and after its end.
 #[derive(Debug)]
 struct Measured {
     at_rest_kb: usize,
     peak_kb: usize,
     released_kb: usize,
-    others_sent: usize,
-    others_served: usize,
+    others: ShortRequests,
     ends: CrowdEnds,
     /// What the balancer logged of its memory.
     log: MemoryLog,
@@ -142,16 +141,26 @@
     (0..UPSTREAM_COUNT).map(start).collect()
 }
 
-/// Sends short requests, each on a new connection, until `is_over`. Returns how many were sent and how many were served.
-fn send_short_requests(address: std::net::SocketAddr, is_over: &AtomicBool) -> (usize, usize) {
-    let (mut sent, mut served) = (0, 0);
-    while !is_over.load(Ordering::Relaxed) {
-        let text = request("look", &format!("other-{sent}"), "Req-Deadline-Ms: 1000\r\n");
-        sent += 1;
-        served += usize::from(status_of_exchange(address, &text) == Some(200));
-        std::thread::sleep(Duration::from_millis(10));
+/// The short requests of clients outside the crowd.
+#[derive(Debug, Default)]
+struct ShortRequests {
+    sent: usize,
+    served: usize,
+}
+
+impl ShortRequests {
+    /// Sends requests, each on a new connection, until `is_over`.
+    fn send_until(is_over: &AtomicBool, address: std::net::SocketAddr) -> ShortRequests {
+        let mut requests = ShortRequests::default();
+        while !is_over.load(Ordering::Relaxed) {
+            let id = format!("other-{}", requests.sent);
+            let text = request("look", &id, "Req-Deadline-Ms: 1000\r\n");
+            requests.sent += 1;
+            requests.served += usize::from(status_of_exchange(address, &text) == Some(200));
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        requests
     }
-    (sent, served)
 }
 
 /// Sends a request on a new connection, and returns the status of the response; `None` if none arrives within 2 s.
@@ -172,7 +181,7 @@
     let mut crowd = Crowd::connect(&balancer, CROWD_SIZE * descriptors / DESCRIPTORS, load.parts_of);
     let others = {
         let (address, is_over) = (balancer.address, is_over.clone());
-        std::thread::spawn(move || send_short_requests(address, &is_over))
+        std::thread::spawn(move || ShortRequests::send_until(&is_over, address))
     };
     let start = Instant::now();
     while start.elapsed() < STAY {
@@ -180,7 +189,7 @@
         std::thread::sleep(ROUND_PAUSE);
     }
     is_over.store(true, Ordering::Relaxed);
-    let (others_sent, others_served) = others.join().expect("the other client does not panic");
+    let others = others.join().expect("the other client does not panic");
     let ends = crowd.read_responses();
     drop(crowd);
     std::thread::sleep(RELEASE_TIME);
@@ -188,8 +197,7 @@
         at_rest_kb,
         peak_kb: balancer.peak_memory_kb(),
         released_kb: balancer.resident_memory_kb(),
-        others_sent,
-        others_served,
+        others,
         ends,
         log: MemoryLog::read(&balancer),
     }
@@ -208,7 +216,7 @@
     let _one_crowd = lock_crowd();
     let measured = measure(load, memory_mb, descriptors);
     println!("{memory_mb} MB, {descriptors} descriptors: {measured:?}");
-    let Measured { at_rest_kb, peak_kb, released_kb, others_sent, others_served, ends, log } = measured;
+    let Measured { at_rest_kb, peak_kb, released_kb, others, ends, log } = measured;
     assert!(peak_kb < memory_mb << 10, "the process used {peak_kb} kB, its limit is {memory_mb} MB");
     assert!(
         released_kb < at_rest_kb + (memory_mb << 10) / MAX_RETAINED_SHARE,
@@ -219,8 +227,10 @@
         assert!(allocated_bytes < max_bytes, "{allocated_bytes} bytes are still allocated");
     }
     assert!(
-        others_served * 100 >= others_sent * MIN_SERVED_PERCENT,
-        "{others_served} of {others_sent} short requests were served"
+        others.served * 100 >= others.sent * MIN_SERVED_PERCENT,
+        "{} of {} short requests were served",
+        others.served,
+        others.sent
     );
     assert_eq!(ends.without_answer, 0, "connections ended without an answer: {ends:?}");
 }
