--- a/crates/proxy/tests/memory_limit/load.rs
+++ b/crates/proxy/tests/memory_limit/load.rs
@@ -58,7 +58,7 @@
     released_kb: usize,
     others: ShortRequests,
     ends: CrowdEnds,
-    /// What the balancer logged of its memory.
+    /// The balancer's log lines on its memory.
     log: MemoryLog,
 }
 
@@ -80,13 +80,19 @@
 
 impl HeapReport {
     /// Reads the numbers before `bytes allocated` and before `resident`.
-    fn from_line(line: &str) -> Option<HeapReport> {
-        let number_before =
-            |text: &str| line.split(text).next()?.rsplit(' ').next()?.trim_start_matches('(').parse().ok();
-        Some(HeapReport {
-            allocated_bytes: number_before(" bytes allocated")?,
-            resident_bytes: number_before(" resident")?,
-        })
+    ///
+    /// # Panics
+    /// The line does not have them.
+    fn from_line(line: &str) -> HeapReport {
+        let number_before = |text: &str| {
+            let (before, _) = line.split_once(text).unwrap_or_else(|| panic!("no{text} in {line}"));
+            let word = before.rsplit(' ').next().unwrap_or_default().trim_start_matches('(');
+            word.parse().unwrap_or_else(|_| panic!("no number before{text} in {line}"))
+        };
+        HeapReport {
+            allocated_bytes: number_before(" bytes allocated"),
+            resident_bytes: number_before(" resident"),
+        }
     }
 }
 
@@ -112,10 +118,10 @@
 
     fn read_line(&mut self, line: &str) {
         if line.starts_with("memory: short") {
-            self.peak = self.peak.max(HeapReport::from_line(line));
+            self.peak = self.peak.max(Some(HeapReport::from_line(line)));
             self.recovered = None;
         } else if line.starts_with("memory: no longer short") {
-            self.recovered = HeapReport::from_line(line);
+            self.recovered = Some(HeapReport::from_line(line));
         }
     }
 }
